--- /dev/null
+++ b/src/controller/cloud.rs
@@ -0,0 +1,223 @@
+//! The owner's calls to the cloud: catalogue, hires, deletions, lists.
+
+use super::{CloudReply, CloudRequest, Controller, Output, Purpose};
+use crate::Millis;
+use crate::store::{Bucket, StoreRequest};
+use crate::wire::{Change, HireRequest, MachineNames, Transaction};
+use serde_json::json;
+use std::collections::BTreeMap;
+
+const LIST_EVERY_MS: Millis = 3_000;
+const CATALOGUE_EVERY_MS: Millis = 60_000;
+const RETRY_MS: Millis = 1_000;
+/// How long an offer that was refused or cut short is left alone.
+const REFUSED_MS: Millis = 15_000;
+const MAX_DELETE: usize = 100;
+
+#[derive(Debug)]
+enum Call {
+    Catalogue,
+    Hire(String),
+    Delete(Vec<String>),
+    List,
+}
+
+#[derive(Debug)]
+pub struct Calls {
+    rate: Bucket,
+    calls: BTreeMap<u64, Call>,
+    catalogue_due: Millis,
+    list_after: String,
+}
+
+impl Calls {
+    pub fn new(rps: f64) -> Calls {
+        Calls {
+            rate: Bucket::new(rps),
+            calls: BTreeMap::new(),
+            catalogue_due: 0,
+            list_after: String::new(),
+        }
+    }
+
+    pub fn forget(&mut self) {
+        self.calls.clear();
+        self.list_after.clear();
+    }
+}
+
+impl Controller {
+    fn cloud(&mut self, what: Call, request: CloudRequest) {
+        let call = self.call();
+        self.cloud.rate.spend(1.0);
+        self.cloud.calls.insert(call, what);
+        self.outputs.push(Output::Cloud { call, request });
+    }
+
+    pub(super) fn advance_cloud(&mut self) {
+        let now = self.now;
+        if self.cloud.rate.ready(now) && now >= self.cloud.catalogue_due {
+            self.cloud.catalogue_due = now + CATALOGUE_EVERY_MS;
+            self.cloud(Call::Catalogue, CloudRequest::Catalogue);
+        }
+        self.delete_condemned();
+        let Some(share) = &mut self.share else {
+            return;
+        };
+        let mut due = Vec::new();
+        for hire in &mut share.fleet.hires {
+            if !hire.in_flight && now >= hire.not_before && self.cloud.rate.ready(now) {
+                hire.in_flight = true;
+                self.cloud.rate.spend(1.0);
+                due.push(hire.value.clone());
+            }
+        }
+        for value in due {
+            // Spent above, where the budget was looked at.
+            self.cloud.rate.spend(-1.0);
+            let request = HireRequest {
+                request: value.request.clone(),
+                machine_type: value.machine_type,
+                zone: value.zone,
+                spot: value.spot,
+                count: value.count,
+            };
+            self.cloud(Call::Hire(value.request), CloudRequest::Hire(request));
+        }
+        let Some(share) = &mut self.share else {
+            return;
+        };
+        if !share.fleet.listing && now >= share.fleet.listed_at + LIST_EVERY_MS && self.cloud.rate.ready(now) {
+            share.fleet.listing = true;
+            let after = self.cloud.list_after.clone();
+            self.cloud(Call::List, CloudRequest::List { after });
+        }
+    }
+
+    fn delete_condemned(&mut self) {
+        let now = self.now;
+        let Some(share) = &mut self.share else {
+            return;
+        };
+        if share.fleet.deleting || now < share.fleet.delete_not_before || !self.cloud.rate.ready(now) {
+            return;
+        }
+        let mut names = Vec::new();
+        for (_, machine) in share.machines.iter_mut() {
+            if machine.condemned && names.len() < MAX_DELETE {
+                machine.deleting = true;
+                names.push(machine.name.clone());
+            }
+        }
+        if names.is_empty() {
+            return;
+        }
+        share.fleet.deleting = true;
+        let request = MachineNames {
+            machines: names.clone(),
+        };
+        self.cloud(Call::Delete(names), CloudRequest::Delete(request));
+    }
+
+    pub(super) fn cloud_reply(&mut self, call: u64, reply: CloudReply) {
+        let Some(what) = self.cloud.calls.remove(&call) else {
+            return;
+        };
+        let now = self.now;
+        match (what, reply) {
+            (Call::Catalogue, CloudReply::Catalogue(catalogue)) => {
+                let value = json!(catalogue);
+                let stored = self.mirror.catalogue.as_ref();
+                if stored.is_none_or(|(stored, _)| *stored != value) && self.ownership.acting(now) {
+                    // Kept, so that a restart while the cloud is out of reach
+                    // can still decide on submissions.
+                    let transaction = Transaction {
+                        conditions: vec![self.ownership.condition(&self.keys)],
+                        changes: vec![Change::put(self.keys.catalogue(), value)],
+                    };
+                    self.enqueue(Purpose::Catalogue, StoreRequest::Transact(transaction));
+                }
+                self.set_catalogue(catalogue);
+            }
+            (Call::Catalogue, _) => self.cloud.catalogue_due = now + RETRY_MS,
+            (Call::Hire(request), reply) => self.hire_answered(&request, reply),
+            (Call::Delete(names), reply) => {
+                let Some(share) = &mut self.share else {
+                    return;
+                };
+                share.fleet.deleting = false;
+                if reply == CloudReply::Deleted {
+                    share.machines_gone(now, &names);
+                    self.place_wanted = true;
+                } else {
+                    share.fleet.delete_not_before = now + RETRY_MS;
+                }
+            }
+            (Call::List, reply) => {
+                let Some(share) = &mut self.share else {
+                    return;
+                };
+                share.fleet.listing = false;
+                let CloudReply::Listed(list) = reply else {
+                    share.fleet.listed_at = now;
+                    self.cloud.list_after.clear();
+                    return;
+                };
+                share.listed(now, &list.machines);
+                match list.machines.last() {
+                    Some(last) if list.more => self.cloud.list_after = last.id.clone(),
+                    _ => {
+                        self.cloud.list_after.clear();
+                        share.fleet.listed_at = now;
+                    }
+                }
+            }
+        }
+    }
+
+    fn hire_answered(&mut self, request: &str, reply: CloudReply) {
+        let now = self.now;
+        let Some(share) = &mut self.share else {
+            return;
+        };
+        let Some(position) = share.fleet.hires.iter().position(|hire| hire.value.request == request) else {
+            return;
+        };
+        let hire = &mut share.fleet.hires[position];
+        let got = match reply {
+            CloudReply::Hired(names) => names.machines,
+            CloudReply::NoCapacity | CloudReply::Malformed => Vec::new(),
+            _ => {
+                // The very same request again, until it is answered: it may
+                // have been carried out, or may yet be.
+                hire.in_flight = false;
+                hire.not_before = now + RETRY_MS;
+                return;
+            }
+        };
+        let hire = share.fleet.hires.remove(position);
+        let value = hire.value;
+        tracing::info!(
+            machine_type = value.machine_type,
+            zone = value.zone,
+            spot = value.spot,
+            asked = value.count,
+            got = got.len(),
+            "hired"
+        );
+        if got.len() < value.count as usize
+            && let (Some(type_ix), Some(zone)) = (share.types.get(&value.machine_type), share.zones.get(&value.zone))
+        {
+            share
+                .fleet
+                .refused
+                .insert((type_ix, zone, value.spot), now + REFUSED_MS);
+        }
+        for name in &got {
+            if share.machines.find(name).is_none() && !share.tombstones.contains_key(name) {
+                share.add_machine(now, name, &value.machine_type, &value.zone, value.spot);
+            }
+        }
+        share.ledger.settled.push_back((value.request, hire.version));
+    }
+}
--- /dev/null
+++ b/src/controller/mod.rs
@@ -0,0 +1,661 @@
+//! One controller: the slices composed into a deterministic state machine.
+//! [`Controller::step`] takes what happened and returns what to send, write and
+//! answer; it does no I/O and has no clock or randomness of its own.
+
+mod cloud;
+mod owner;
+mod share;
+mod standby;
+
+pub use share::Share;
+
+use crate::intake::{Around, Asker, Intake, Want};
+use crate::ownership::{Ownership, Phase, Wish};
+use crate::peers::{Answer, Ask, Message, Peers};
+use crate::policy::Policy;
+use crate::settings::Settings;
+use crate::store::{Bucket, Keys, Mirror, MirrorChange, StoreReply, StoreRequest};
+use crate::wire::{Catalogue, DirectCommands, HireRequest, JobSpec, MachineList, MachineNames, Report, Transaction};
+use crate::{Millis, Now};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Team limits and preemption span all teams on a pool of machines, so all
+/// that compete for it form one share.
+pub const SHARE: &str = "pool";
+
+/// The state service is taken for reachable this long after its last answer.
+const STORE_OK_MS: Millis = 3_000;
+const CHECK_STORE_MS: Millis = 1_000;
+const WATCH_WAIT_MS: u64 = 10_000;
+/// Pause before a failed read or watch is tried again.
+const RETRY_MS: Millis = 300;
+const MAX_STORE_QUEUE: usize = 600;
+
+#[derive(Clone, Debug)]
+pub enum Input {
+    Tick,
+    User { request: u64, ask: Ask },
+    Health { request: u64 },
+    Report { request: u64, report: Box<Report> },
+    Peer { message: Box<Message>, node: String },
+    Store { call: u64, reply: StoreReply },
+    Cloud { call: u64, reply: CloudReply },
+    Worker { call: u64, reply: WorkerReply },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    Answer {
+        request: u64,
+        answer: Answer,
+    },
+    Store {
+        call: u64,
+        request: StoreRequest,
+    },
+    Cloud {
+        call: u64,
+        request: CloudRequest,
+    },
+    Worker {
+        call: u64,
+        address: String,
+        commands: DirectCommands,
+    },
+    Peer {
+        node: String,
+        message: Message,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum CloudRequest {
+    Catalogue,
+    Hire(HireRequest),
+    Delete(MachineNames),
+    List { after: String },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum CloudReply {
+    Catalogue(Catalogue),
+    Hired(MachineNames),
+    NoCapacity,
+    Deleted,
+    Listed(MachineList),
+    /// Refused for good: asking the same again gives the same.
+    Malformed,
+    /// Not executed.
+    Unavailable,
+    /// No answer: perhaps executed, perhaps later.
+    Lost,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum WorkerReply {
+    /// Executed; the worker's report after the commands.
+    Done(Box<Report>),
+    /// Not executed: the token is too low or the session another.
+    Refused(Box<Report>),
+    /// Surely not delivered.
+    NotSent,
+    /// Sent and not answered: perhaps executed, perhaps later.
+    Lost,
+}
+
+/// Why a request to the state service was made.
+#[derive(Clone, Debug)]
+enum Purpose {
+    Grant,
+    Claim {
+        transaction: Transaction,
+        sent: Millis,
+    },
+    Renew {
+        sent: Millis,
+    },
+    /// After a lapse: is the claim still ours?
+    CheckClaim,
+    ReadMirror,
+    Watch,
+    Sync(u64),
+    Load(Loading),
+    Commit,
+    ReadEnd(u64),
+    Write(u64),
+    Catalogue,
+    Resign,
+}
+
+/// What a new owner reads, in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loading {
+    Machines,
+    Hires,
+    /// The watched keys, up to a revision after the claim.
+    Mirror,
+    Firings,
+}
+
+struct Queued {
+    purpose: Purpose,
+    request: StoreRequest,
+    not_before: Millis,
+}
+
+pub struct Controller {
+    settings: Settings,
+    policy: Policy,
+    keys: Keys,
+    now: Millis,
+    wall: Millis,
+    outputs: Vec<Output>,
+    next_call: u64,
+
+    ownership: Ownership,
+    mirror: Mirror,
+    catalogue: Option<Catalogue>,
+    intake: Intake,
+    peers: Peers,
+    share: Option<Share>,
+
+    queue: VecDeque<Queued>,
+    calls: BTreeMap<u64, (Purpose, StoreRequest)>,
+    requests: Bucket,
+    writes: Bucket,
+    watching: bool,
+    watch_not_before: Millis,
+    reading: bool,
+    read_not_before: Millis,
+    store_ok_at: Option<Millis>,
+    store_asked_at: Millis,
+    checking_claim: bool,
+
+    cloud: cloud::Calls,
+    pushes: BTreeMap<u64, (u32, u64)>,
+    claimed_at: Millis,
+    worker_heard_at: Millis,
+    placed_at: Millis,
+    place_wanted: bool,
+    counts_at: Millis,
+    /// When a claim over the own claim is due, if one is.
+    reclaim_wanted: bool,
+    reclaimed_at: Millis,
+    loading_since: Millis,
+
+    forwards: BTreeMap<u64, u64>,
+    next_forward: u64,
+    relays: BTreeMap<u64, (u64, Millis)>,
+    guests: BTreeMap<String, standby::Guest>,
+}
+
+impl Controller {
+    /// `life` must differ between any two lives of this controller.
+    pub fn new(settings: Settings, policy: Policy, life: u64) -> Controller {
+        let nodes = settings.peers.iter().map(|peer| peer.node.clone());
+        Controller {
+            keys: Keys::new(SHARE),
+            now: 0,
+            wall: 0,
+            outputs: Vec::new(),
+            next_call: 0,
+            ownership: Ownership::new(&settings.node, life),
+            mirror: Mirror::default(),
+            catalogue: None,
+            intake: Intake::default(),
+            peers: Peers::new(nodes),
+            share: None,
+            queue: VecDeque::new(),
+            calls: BTreeMap::new(),
+            requests: Bucket::new(settings.params.state.rps * 0.2),
+            writes: Bucket::new(settings.params.state.write_rps * 0.2),
+            watching: false,
+            watch_not_before: 0,
+            reading: false,
+            read_not_before: 0,
+            store_ok_at: None,
+            store_asked_at: 0,
+            checking_claim: false,
+            cloud: cloud::Calls::new(settings.params.cloud.rps * 0.7),
+            pushes: BTreeMap::new(),
+            claimed_at: 0,
+            worker_heard_at: 0,
+            placed_at: 0,
+            place_wanted: false,
+            counts_at: 0,
+            reclaim_wanted: false,
+            reclaimed_at: 0,
+            loading_since: 0,
+            forwards: BTreeMap::new(),
+            next_forward: 0,
+            relays: BTreeMap::new(),
+            guests: BTreeMap::new(),
+            settings,
+            policy,
+        }
+    }
+
+    pub fn step(&mut self, now: Now, input: Input) -> Vec<Output> {
+        self.now = now.steady;
+        self.wall = now.wall;
+        match input {
+            Input::Tick => self.tick(),
+            Input::User { request, ask } => self.user(request, ask),
+            Input::Health { request } => self.health(request),
+            Input::Report { request, report } => self.report(request, *report),
+            Input::Peer { node, message } => self.peer(node, *message),
+            Input::Store { call, reply } => self.store_reply(call, reply),
+            Input::Cloud { call, reply } => self.cloud_reply(call, reply),
+            Input::Worker { call, reply } => self.worker_reply(call, reply),
+        }
+        self.advance();
+        std::mem::take(&mut self.outputs)
+    }
+
+    pub fn owns_share(&self) -> bool {
+        self.ownership.acting(self.now)
+    }
+
+    fn call(&mut self) -> u64 {
+        self.next_call += 1;
+        self.next_call
+    }
+
+    fn store_ok(&self) -> bool {
+        self.store_ok_at.is_some_and(|at| self.now < at + STORE_OK_MS)
+    }
+
+    fn tick(&mut self) {
+        if self.now >= self.peers.beat_at + crate::peers::BEAT_EVERY_MS {
+            self.peers.beat_at = self.now;
+            let message = Message::Beat {
+                node: self.settings.node.clone(),
+                share: SHARE.into(),
+                owns_term: self.owns_share().then_some(self.ownership.term),
+                store_ok: self.store_ok(),
+            };
+            for node in self.peers.names() {
+                self.outputs.push(Output::Peer {
+                    node,
+                    message: message.clone(),
+                });
+            }
+        }
+        let wants =
+            self.with_intake(|intake, around, peers| intake.tick(around, &|node| peers.in_reach(around.now, node)));
+        self.carry_out(wants);
+        self.standby_tick();
+    }
+
+    /// Whatever is due, after every input.
+    fn advance(&mut self) {
+        self.advance_mirror();
+        self.advance_ownership();
+        self.advance_owner();
+        if let Some(number) = self.intake.take_sync() {
+            self.sync(number);
+        }
+        self.pump();
+    }
+
+    fn advance_mirror(&mut self) {
+        if !self.mirror.complete {
+            if !self.reading && self.now >= self.read_not_before {
+                self.reading = true;
+                self.enqueue(
+                    Purpose::ReadMirror,
+                    StoreRequest::List {
+                        prefix: self.keys.watched(),
+                        after: String::new(),
+                    },
+                );
+            }
+            return;
+        }
+        if !self.watching && self.now >= self.watch_not_before {
+            self.watching = true;
+            self.enqueue(
+                Purpose::Watch,
+                StoreRequest::Watch {
+                    prefix: self.keys.watched(),
+                    since: self.mirror.revision,
+                    wait_ms: WATCH_WAIT_MS,
+                },
+            );
+        }
+        // Without other traffic, a look now and then tells whether the state
+        // service can be reached, and keeps the mirror fresh.
+        if self.now >= self.store_asked_at + CHECK_STORE_MS {
+            self.sync(0);
+        }
+    }
+
+    fn sync(&mut self, number: u64) {
+        self.store_asked_at = self.now;
+        self.enqueue(
+            Purpose::Sync(number),
+            StoreRequest::Watch {
+                prefix: self.keys.watched(),
+                since: self.mirror.revision,
+                wait_ms: 0,
+            },
+        );
+    }
+
+    fn advance_ownership(&mut self) {
+        let others = self.peers.is_alone() || self.peers.any_in_reach(self.now);
+        match self.ownership.poll(self.now, &self.mirror, others) {
+            Some(Wish::Grant) => {
+                let ttl_ms = crate::ownership::LEASE_MS;
+                self.enqueue(Purpose::Grant, StoreRequest::Grant { ttl_ms });
+            }
+            Some(Wish::Renew(lease)) => {
+                self.enqueue(Purpose::Renew { sent: self.now }, StoreRequest::Renew(lease));
+            }
+            None => {}
+        }
+    }
+
+    fn send_claim(&mut self, transaction: Transaction) {
+        self.enqueue(
+            Purpose::Claim {
+                transaction: transaction.clone(),
+                sent: self.now,
+            },
+            StoreRequest::Transact(transaction),
+        );
+    }
+
+    fn enqueue(&mut self, purpose: Purpose, request: StoreRequest) {
+        let not_before = self.now;
+        self.queue.push_back(Queued {
+            purpose,
+            request,
+            not_before,
+        });
+    }
+
+    /// Sends what the rate budget allows. Lease and claim go first and are
+    /// never held back: a share of the rate is kept for them.
+    fn pump(&mut self) {
+        let (part, writes) = self.budget();
+        self.requests.set_rate(self.settings.params.state.rps * part);
+        self.writes.set_rate(self.settings.params.state.write_rps * writes);
+        let mut held = VecDeque::new();
+        let queue = std::mem::take(&mut self.queue);
+        let (first, rest): (Vec<_>, Vec<_>) = queue.into_iter().partition(|queued| {
+            matches!(
+                queued.purpose,
+                Purpose::Grant | Purpose::Claim { .. } | Purpose::Renew { .. } | Purpose::CheckClaim | Purpose::Resign
+            )
+        });
+        let urgent = first.len();
+        for (position, queued) in first.into_iter().chain(rest).enumerate() {
+            let (now, writes) = (self.now, queued.request.writes());
+            let ready = now >= queued.not_before
+                && (position < urgent || self.requests.ready(now) && (writes == 0 || self.writes.ready(now)));
+            if !ready {
+                held.push_back(queued);
+                continue;
+            }
+            self.requests.spend(1.0);
+            self.writes.spend(f64::from(writes));
+            let call = self.call();
+            self.outputs.push(Output::Store {
+                call,
+                request: queued.request.clone(),
+            });
+            self.calls.insert(call, (queued.purpose, queued.request));
+        }
+        self.queue = held;
+        while self.queue.len() > MAX_STORE_QUEUE {
+            // Only users' requests come in such numbers.
+            let Some(position) = self
+                .queue
+                .iter()
+                .rposition(|queued| matches!(queued.purpose, Purpose::ReadEnd(_) | Purpose::Write(_)))
+            else {
+                break;
+            };
+            if let Some(queued) = self.queue.remove(position) {
+                self.answered(queued.purpose, &queued.request, StoreReply::Unavailable);
+            }
+        }
+    }
+
+    /// This controller's part of the request and write rates. What is left
+    /// over is the reserve for leases and claims.
+    fn budget(&self) -> (f64, f64) {
+        let nodes = self.settings.peers.len() as f64 + 1.0;
+        if self.ownership.phase == Phase::Standby {
+            (0.4 / nodes, 0.3 / nodes)
+        } else {
+            (0.45, 0.55)
+        }
+    }
+
+    fn store_reply(&mut self, call: u64, reply: StoreReply) {
+        let Some((purpose, request)) = self.calls.remove(&call) else {
+            return;
+        };
+        match reply {
+            StoreReply::Unavailable | StoreReply::Lost => {}
+            StoreReply::Throttled => {
+                if !matches!(purpose, Purpose::Renew { .. }) {
+                    self.queue.push_back(Queued {
+                        purpose,
+                        request,
+                        not_before: self.now + 250,
+                    });
+                    return;
+                }
+            }
+            _ => self.store_ok_at = Some(self.now),
+        }
+        self.answered(purpose, &request, reply);
+    }
+
+    fn answered(&mut self, purpose: Purpose, request: &StoreRequest, reply: StoreReply) {
+        match purpose {
+            Purpose::Grant => self.granted(reply),
+            Purpose::Claim { transaction, sent } => self.claim_answered(transaction, sent, reply),
+            Purpose::Renew { sent } => self.renew_answered(sent, reply),
+            Purpose::CheckClaim => self.claim_checked(reply),
+            Purpose::ReadMirror => self.mirror_read(request, reply),
+            Purpose::Watch => {
+                self.watching = false;
+                if !self.take_log(reply) {
+                    self.watch_not_before = self.now + RETRY_MS;
+                }
+            }
+            Purpose::Sync(number) => {
+                let ok = self.take_log(reply);
+                if number > 0 {
+                    let wants = self.with_intake(|intake, around, _| intake.synced(around, number, ok));
+                    self.carry_out(wants);
+                }
+            }
+            Purpose::Load(part) => self.load_answered(part, request, reply),
+            Purpose::Commit => self.commit_answered(reply),
+            Purpose::ReadEnd(op) => {
+                let wants = self.intake.end_read(op, &reply);
+                self.carry_out(wants);
+            }
+            Purpose::Write(op) => {
+                if let StoreReply::Conflict { failed } = &reply {
+                    self.check_claim_in(failed);
+                }
+                let wants = self.with_intake(|intake, around, _| intake.written(around, op, &reply));
+                self.carry_out(wants);
+            }
+            Purpose::Catalogue | Purpose::Resign => {}
+        }
+    }
+
+    fn mirror_read(&mut self, request: &StoreRequest, reply: StoreReply) {
+        let StoreReply::Page(page) = reply else {
+            self.reading = false;
+            self.mirror.restart();
+            self.read_not_before = self.now + RETRY_MS;
+            return;
+        };
+        let next = page.items.last().map(|entry| entry.key.clone());
+        let prefix = self.keys.watched();
+        match (self.mirror.take_page(&self.keys, page), next) {
+            (Some(changes), _) => {
+                self.reading = false;
+                self.mirror_changed(changes);
+            }
+            (None, Some(after)) => self.enqueue(Purpose::ReadMirror, StoreRequest::List { prefix, after }),
+            (None, None) => tracing::error!(?request, "an empty page says that there is more"),
+        }
+    }
+
+    fn take_log(&mut self, reply: StoreReply) -> bool {
+        match reply {
+            StoreReply::Log(log) if self.mirror.complete => {
+                let changes = self.mirror.take_log(&self.keys, log.revision, log.events);
+                self.mirror_changed(changes);
+                true
+            }
+            StoreReply::TooOld => {
+                self.mirror.restart();
+                false
+            }
+            _ => false,
+        }
+    }
+
+    fn mirror_changed(&mut self, changes: Vec<MirrorChange>) {
+        for change in changes {
+            match change {
+                MirrorChange::Owner => self.owner_changed(),
+                MirrorChange::Catalogue => {
+                    let value = self.mirror.catalogue.as_ref().map(|(value, _)| value.clone());
+                    match value.map(serde_json::from_value::<Catalogue>) {
+                        Some(Ok(catalogue)) => self.set_catalogue(catalogue),
+                        Some(Err(error)) => tracing::error!(%error, "the stored catalogue can't be read"),
+                        None => {}
+                    }
+                }
+                MirrorChange::Job(id) => self.job_changed(&id),
+                MirrorChange::JobGone(id) => {
+                    self.peers.counts.remove(&id);
+                }
+            }
+        }
+    }
+
+    fn set_catalogue(&mut self, catalogue: Catalogue) {
+        if let Some(share) = &mut self.share {
+            share.set_catalogue(&catalogue);
+        }
+        self.catalogue = Some(catalogue);
+        self.place_wanted = true;
+    }
+
+    fn job_changed(&mut self, id: &str) {
+        if let (Some(share), Some((key, version))) = (&mut self.share, self.mirror.jobs.get(id)) {
+            share.job_changed(self.now, id, key, *version);
+            self.place_wanted = true;
+        }
+    }
+
+    fn with_intake<T>(&mut self, act: impl FnOnce(&mut Intake, &Around, &Peers) -> T) -> T {
+        let claim = self
+            .ownership
+            .acting(self.now)
+            .then(|| self.ownership.condition(&self.keys));
+        let (catalogue, teams) = (&self.catalogue, &self.settings.params.teams);
+        let refuse = |spec: &JobSpec| {
+            catalogue
+                .as_ref()
+                .map(|catalogue| crate::intake::check(spec, teams, catalogue))
+        };
+        let (share, peers) = (&self.share, &self.peers);
+        let counts = |id: &str| match share {
+            Some(share) => share.counts(id),
+            None => peers.counts.get(id).copied(),
+        };
+        let around = Around {
+            now: self.now,
+            wall: self.wall,
+            keys: &self.keys,
+            mirror: &self.mirror,
+            claim,
+            refuse: &refuse,
+            counts: &counts,
+        };
+        act(&mut self.intake, &around, &self.peers)
+    }
+
+    fn carry_out(&mut self, wants: Vec<Want>) {
+        for want in wants {
+            match want {
+                Want::Answer(Asker::User(request), answer) => self.outputs.push(Output::Answer { request, answer }),
+                Want::Answer(Asker::Peer { node, id }, answer) => self.outputs.push(Output::Peer {
+                    node,
+                    message: Message::Forwarded { id, answer },
+                }),
+                Want::ReadEnd { op, key } => self.enqueue(Purpose::ReadEnd(op), StoreRequest::Get(key)),
+                Want::Write { op, transaction } => {
+                    self.enqueue(Purpose::Write(op), StoreRequest::Transact(transaction));
+                }
+                Want::Forward { op, node, ask } => {
+                    self.next_forward += 1;
+                    let id = self.next_forward;
+                    self.forwards.insert(id, op);
+                    self.outputs.push(Output::Peer {
+                        node,
+                        message: Message::Forward {
+                            share: SHARE.into(),
+                            id,
+                            ask,
+                        },
+                    });
+                }
+                Want::Learned { id, key, revision } => {
+                    // The watch may have been faster, even to the job's end.
+                    if revision > self.mirror.revision {
+                        self.mirror.jobs.insert(id.clone(), (key, revision));
+                        self.job_changed(&id);
+                    }
+                }
+            }
+        }
+    }
+
+    fn user(&mut self, request: u64, ask: Ask) {
+        let forward = self.forward_to(&ask);
+        let asker = Asker::User(request);
+        let wants = self.with_intake(|intake, around, _| intake.ask(around, asker, ask, forward));
+        self.carry_out(wants);
+    }
+
+    /// Who should answer: the owner takes submissions and cancels; any other
+    /// controller only when this one can't use the state service.
+    fn forward_to(&self, ask: &Ask) -> Option<String> {
+        if self.owns_share() {
+            return None;
+        }
+        let owner = self.peers.owner(self.now);
+        let to = match ask {
+            Ask::Submit(_) | Ask::Cancel(_) if owner.is_some() => owner,
+            _ if self.store_ok() => None,
+            _ => owner.or(self.peers.with_store(self.now)),
+        };
+        to.map(str::to_owned)
+    }
+
+    /// Not healthy only if another controller could do what this one can't:
+    /// in an outage that all share, users are better answered than refused.
+    fn health(&mut self, request: u64) {
+        let well = self.store_ok() || (self.mirror.complete && self.peers.with_store(self.now).is_none());
+        let answer = if well {
+            crate::intake::text(200, "")
+        } else {
+            crate::intake::busy("the state service can't be reached")
+        };
+        self.outputs.push(Output::Answer { request, answer });
+    }
+}
--- /dev/null
+++ b/src/controller/owner.rs
@@ -0,0 +1,569 @@
+//! Owning the share: claiming, loading, writing, commanding.
+
+use super::{Controller, Loading, Output, Purpose, SHARE, Share, WorkerReply};
+use crate::Millis;
+use crate::ownership::Phase;
+use crate::peers::Message;
+use crate::store::{StoreReply, StoreRequest, tail};
+use crate::wire::{Change, DirectCommands, Report, ReportAnswer, Transaction};
+use crate::workers::Merged;
+
+const PLACE_EVERY_MS: Millis = 25;
+const PLACE_ANYWAY_MS: Millis = 400;
+const COUNTS_EVERY_MS: Millis = 1_000;
+/// Raising the term costs a fresh start, so not more often than this.
+const RECLAIM_EVERY_MS: Millis = 8_000;
+/// An owner that hears nobody, no controller and no worker, for this long
+/// gives the share up for another to take.
+const DEAF_MS: Millis = 4_000;
+const DEAF_HOLD_OFF_MS: Millis = 6_000;
+const LOAD_PATIENCE_MS: Millis = 5_000;
+
+impl Controller {
+    pub(super) fn owner_changed(&mut self) {
+        let Some((owner, version)) = &self.mirror.owner else {
+            return;
+        };
+        if self.ownership.holds_claim() && owner.term > self.ownership.term {
+            tracing::warn!(by = owner.node, version, "somebody else owns the share");
+            self.stand_by(0);
+        }
+    }
+
+    pub(super) fn stand_by(&mut self, hold_off: Millis) {
+        self.ownership.step_down(self.now, hold_off);
+        self.share = None;
+        self.reclaim_wanted = false;
+        self.checking_claim = false;
+        self.cloud.forget();
+        self.pushes.clear();
+        self.calls.retain(|_, (purpose, _)| !owners(purpose));
+        self.queue.retain(|queued| !owners(&queued.purpose));
+    }
+
+    pub(super) fn granted(&mut self, reply: StoreReply) {
+        if self.ownership.phase != Phase::Granting {
+            return;
+        }
+        match reply {
+            StoreReply::Granted { lease } => {
+                let sent = self.ownership.asked_at();
+                let transaction = self.ownership.granted(lease, sent, &self.keys, &self.mirror);
+                self.send_claim(transaction);
+            }
+            _ => self.ownership.step_down(self.now, 500),
+        }
+    }
+
+    pub(super) fn claim_answered(&mut self, transaction: Transaction, sent: Millis, reply: StoreReply) {
+        if self.ownership.phase != Phase::Claiming {
+            return;
+        }
+        match reply {
+            StoreReply::Committed { revision } => self.claimed(revision),
+            // Perhaps applied: the same again is applied or conflicts, and a
+            // conflict is told apart by reading the claim.
+            StoreReply::Lost | StoreReply::Unavailable if self.now < sent + crate::ownership::LEASE_MS => {
+                self.queue.push_back(super::Queued {
+                    purpose: Purpose::Claim {
+                        transaction: transaction.clone(),
+                        sent,
+                    },
+                    request: StoreRequest::Transact(transaction),
+                    not_before: self.now + 200,
+                });
+            }
+            StoreReply::Conflict { .. } => self.enqueue(Purpose::CheckClaim, StoreRequest::Get(self.keys.owner())),
+            _ => self.stand_by(500),
+        }
+    }
+
+    fn claimed(&mut self, version: u64) {
+        self.ownership.claimed(version);
+        self.claimed_at = self.now;
+        self.reclaimed_at = self.now;
+        self.reclaim_wanted = false;
+        self.loading_since = self.now;
+        self.worker_heard_at = self.now;
+        // Nothing of the former term counts: what was in flight under it is
+        // void, and what it did is read back.
+        self.calls.retain(|_, (purpose, _)| !owners(purpose));
+        self.queue.retain(|queued| !owners(&queued.purpose));
+        self.cloud.forget();
+        self.pushes.clear();
+        let mut share = Share::new(SHARE, self.ownership.term, &self.settings, &self.policy);
+        if let Some(catalogue) = &self.catalogue {
+            share.set_catalogue(catalogue);
+        }
+        self.share = Some(share);
+        self.load(Loading::Machines, String::new());
+    }
+
+    fn load(&mut self, part: Loading, after: String) {
+        let prefix = match part {
+            Loading::Machines => self.keys.machines(),
+            Loading::Hires => self.keys.hires(),
+            Loading::Mirror => self.keys.watched(),
+            Loading::Firings => self.keys.firings(),
+        };
+        self.enqueue(Purpose::Load(part), StoreRequest::List { prefix, after });
+    }
+
+    pub(super) fn load_answered(&mut self, part: Loading, request: &StoreRequest, reply: StoreReply) {
+        if self.ownership.phase != Phase::Loading {
+            return;
+        }
+        if part == Loading::Mirror && self.load_synced(&reply) {
+            self.load(Loading::Firings, String::new());
+            return;
+        }
+        let StoreReply::Page(page) = reply else {
+            let request = match part {
+                Loading::Mirror => self.catch_up(),
+                _ => request.clone(),
+            };
+            self.queue.push_back(super::Queued {
+                purpose: Purpose::Load(part),
+                request,
+                not_before: self.now + 200,
+            });
+            return;
+        };
+        let Some(share) = &mut self.share else {
+            return;
+        };
+        let next = page.items.last().map(|entry| entry.key.clone());
+        for entry in &page.items {
+            match part {
+                Loading::Machines => share.load_machine(self.now, tail(entry, &self.keys.machines()), entry),
+                Loading::Hires => share.load_hire(entry),
+                Loading::Mirror => {}
+                Loading::Firings => {
+                    let name = tail(entry, &self.keys.firings()).to_owned();
+                    let Some((job, number)) = name.split_once('/') else {
+                        continue;
+                    };
+                    // The job may be newer than the mirror, which is brought up
+                    // to date before firings are read; if it is still missing,
+                    // it was cleaned up while these pages were read.
+                    if share.jobs.find(job).is_some()
+                        && let Ok(number) = number.parse()
+                    {
+                        share.load_chunk(self.now, job, number, entry);
+                    }
+                }
+            }
+        }
+        match (page.more, next, part) {
+            (true, Some(after), _) => self.load(part, after),
+            (_, _, Loading::Machines) => self.load(Loading::Hires, String::new()),
+            // The mirror must be newer than the claim before firings are read.
+            (_, _, Loading::Hires) => {
+                let request = self.catch_up();
+                self.enqueue(Purpose::Load(Loading::Mirror), request);
+            }
+            (_, _, Loading::Mirror) => {}
+            (_, _, Loading::Firings) => self.loaded(),
+        }
+    }
+
+    fn catch_up(&self) -> StoreRequest {
+        StoreRequest::Watch {
+            prefix: self.keys.watched(),
+            since: self.mirror.revision,
+            wait_ms: 0,
+        }
+    }
+
+    /// The read that brings the mirror up to date while loading came back.
+    fn load_synced(&mut self, reply: &StoreReply) -> bool {
+        if !self.take_log(reply.clone()) {
+            return false;
+        }
+        let Some(share) = &mut self.share else {
+            return false;
+        };
+        for (id, (key, version)) in &self.mirror.jobs {
+            share.job_changed(self.now, id, key, *version);
+        }
+        true
+    }
+
+    fn loaded(&mut self) {
+        let Some(share) = &mut self.share else {
+            return;
+        };
+        share.loaded();
+        for (_, machine) in share.machines.iter_mut() {
+            // Asking each machine straight away spares a report interval.
+            machine.push.wanted = true;
+        }
+        tracing::info!(
+            term = self.ownership.term,
+            jobs = share.jobs.len(),
+            machines = share.machines.len(),
+            took_ms = self.now - self.loading_since,
+            "took over the share"
+        );
+        self.ownership.phase = Phase::Active;
+        self.place_wanted = true;
+    }
+
+    pub(super) fn renew_answered(&mut self, sent: Millis, reply: StoreReply) {
+        match reply {
+            StoreReply::Renewed => {
+                self.ownership.renewed(sent);
+                if self.ownership.suspended && !self.checking_claim {
+                    self.checking_claim = true;
+                    self.enqueue(Purpose::CheckClaim, StoreRequest::Get(self.keys.owner()));
+                }
+            }
+            StoreReply::LeaseGone if self.ownership.holds_claim() => {
+                tracing::warn!("the lease has ended");
+                self.stand_by(0);
+            }
+            _ => self.ownership.renewal_failed(self.now),
+        }
+    }
+
+    pub(super) fn claim_checked(&mut self, reply: StoreReply) {
+        self.checking_claim = false;
+        match reply {
+            StoreReply::Found { value, version } => {
+                let mine = serde_json::from_value(value).is_ok_and(|owner| self.ownership.is_mine(&owner));
+                match (mine, self.ownership.phase) {
+                    (true, Phase::Claiming) => self.claimed(version),
+                    (true, _) if version == self.ownership.claim_version => self.ownership.resume(self.now),
+                    _ => self.stand_by(0),
+                }
+            }
+            StoreReply::Missing => self.stand_by(0),
+            _ if self.ownership.phase == Phase::Claiming => self.stand_by(500),
+            _ => {}
+        }
+    }
+
+    /// A transaction conflicted: if the claim was among the reasons, it is gone.
+    pub(super) fn check_claim_in(&mut self, failed: &[String]) -> bool {
+        let lost = self.ownership.holds_claim() && failed.contains(&self.keys.owner());
+        if lost {
+            tracing::warn!(term = self.ownership.term, "the claim is gone");
+            self.stand_by(0);
+        }
+        lost
+    }
+
+    pub(super) fn advance_owner(&mut self) {
+        if !self.ownership.acting(self.now) || self.share.is_none() {
+            if self.ownership.phase == Phase::Loading && self.now > self.loading_since + LOAD_PATIENCE_MS {
+                self.stand_by(500);
+            }
+            return;
+        }
+        if self.deaf() {
+            tracing::warn!("hearing no controller and no worker; giving the share up");
+            let transaction = Transaction {
+                conditions: vec![self.ownership.condition(&self.keys)],
+                changes: vec![Change::delete(self.keys.owner())],
+            };
+            self.stand_by(DEAF_HOLD_OFF_MS);
+            self.enqueue(Purpose::Resign, StoreRequest::Transact(transaction));
+            return;
+        }
+        if self.reclaim() {
+            return;
+        }
+        let Some(share) = &mut self.share else {
+            return;
+        };
+        share.close_lapsed(self.now);
+        share.plan_fleet(self.now);
+        let due = if self.place_wanted {
+            PLACE_EVERY_MS
+        } else {
+            PLACE_ANYWAY_MS
+        };
+        if self.now >= self.placed_at + due {
+            self.placed_at = self.now;
+            self.place_wanted = false;
+            share.drain(self.now);
+            share.place(self.now);
+        }
+        self.commit();
+        self.push_commands();
+        self.advance_cloud();
+        self.send_counts();
+    }
+
+    fn deaf(&self) -> bool {
+        !self.peers.is_alone()
+            && self.now > self.claimed_at + DEAF_MS
+            && self.now > self.peers.last_heard() + DEAF_MS
+            && self.now > self.worker_heard_at + DEAF_MS
+    }
+
+    /// Starts a new term over the own claim where one is called for.
+    fn reclaim(&mut self) -> bool {
+        if let Some(share) = &mut self.share
+            && std::mem::take(&mut share.withdraw)
+        {
+            self.reclaim_wanted = true;
+        }
+        if !self.reclaim_wanted || self.now < self.reclaimed_at + RECLAIM_EVERY_MS {
+            return false;
+        }
+        tracing::info!(term = self.ownership.term, "raising the term");
+        let transaction = self.ownership.reclaim(&self.keys, &self.mirror);
+        self.send_claim(transaction);
+        true
+    }
+
+    fn commit(&mut self) {
+        if !self.writes.ready(self.now) || !self.requests.ready(self.now) {
+            return;
+        }
+        let claim = self.ownership.condition(&self.keys);
+        let max_ops = self.settings.params.state.txn_ops as usize;
+        let Some(share) = &mut self.share else {
+            return;
+        };
+        if let Some(transaction) = share.next_transaction(self.now, &self.keys, claim, max_ops) {
+            self.enqueue(Purpose::Commit, StoreRequest::Transact(transaction));
+        }
+    }
+
+    pub(super) fn commit_answered(&mut self, reply: StoreReply) {
+        let Some(share) = &mut self.share else {
+            return;
+        };
+        match reply {
+            StoreReply::Committed { revision } => {
+                let committed = share.committed(&self.keys, revision);
+                for ix in committed.push {
+                    if let Some(machine) = share.machines.get_mut(ix) {
+                        machine.push.wanted = true;
+                    }
+                }
+                for (value, version) in committed.hires {
+                    share.fleet.hires.push(crate::fleet::Hire {
+                        value,
+                        version,
+                        in_flight: false,
+                        not_before: 0,
+                    });
+                }
+                // A cancel may have come while this was written.
+                share.drop_unwritten(self.now);
+                self.place_wanted = true;
+            }
+            StoreReply::Conflict { failed } => {
+                let uncertain = share.ledger.in_flight.as_ref().is_some_and(|flight| flight.uncertain);
+                if self.check_claim_in(&failed) {
+                    return;
+                }
+                let jobs = self.keys.jobs();
+                let cancelled = failed
+                    .iter()
+                    .all(|key| key.starts_with(&jobs) || key.starts_with("kept/pool/end/"));
+                let Some(share) = &mut self.share else {
+                    return;
+                };
+                share.not_applied();
+                if uncertain || !cancelled {
+                    // What is written is not what was thought: read it all again.
+                    tracing::warn!(?failed, uncertain, "a write conflicted; reading everything again");
+                    self.reclaim_wanted = true;
+                    self.reclaimed_at = 0;
+                } else {
+                    // A cancel was faster. The mirror will say so.
+                    self.sync(0);
+                }
+            }
+            StoreReply::Lost | StoreReply::Unavailable => {
+                let lost = reply == StoreReply::Lost;
+                let Some(flight) = &mut share.ledger.in_flight else {
+                    return;
+                };
+                flight.uncertain |= lost;
+                let request = StoreRequest::Transact(flight.transaction.clone());
+                self.queue.push_back(super::Queued {
+                    purpose: Purpose::Commit,
+                    request,
+                    not_before: self.now + 200,
+                });
+            }
+            other => {
+                tracing::error!(?other, "a write was refused");
+                self.reclaim_wanted = true;
+            }
+        }
+    }
+
+    fn push_commands(&mut self) {
+        let (now, term) = (self.now, self.ownership.term);
+        let Some(share) = &mut self.share else {
+            return;
+        };
+        let mut sends = Vec::new();
+        for ix in share.machines.indices() {
+            let Some(machine) = share.machines.get(ix) else {
+                continue;
+            };
+            if !machine.push.wanted || machine.push.in_flight || now < machine.push.not_before || machine.condemned {
+                continue;
+            }
+            let (Some(address), session) = (machine.address.clone(), machine.session) else {
+                continue;
+            };
+            let commands = share.commands(now, ix);
+            let Some(machine) = share.machines.get_mut(ix) else {
+                continue;
+            };
+            machine.push.wanted = false;
+            if commands.is_empty() && machine.heard_at.is_some() {
+                continue;
+            }
+            machine.push.in_flight = true;
+            machine.push.starts = commands
+                .iter()
+                .any(|command| matches!(command, crate::wire::Command::Start { .. }));
+            sends.push((ix, address, session, commands));
+        }
+        for (ix, address, session, commands) in sends {
+            let call = self.call();
+            self.pushes.insert(call, (ix, term));
+            self.outputs.push(Output::Worker {
+                call,
+                address,
+                commands: DirectCommands {
+                    token: term,
+                    session,
+                    commands,
+                },
+            });
+        }
+    }
+
+    pub(super) fn worker_reply(&mut self, call: u64, reply: WorkerReply) {
+        let Some((ix, term)) = self.pushes.remove(&call) else {
+            return;
+        };
+        let now = self.now;
+        let Some(share) = &mut self.share else {
+            return;
+        };
+        if let Some(machine) = share.machines.get_mut(ix) {
+            machine.push.in_flight = false;
+            match &reply {
+                WorkerReply::Lost if machine.push.starts => machine.doubt = machine.doubt.max(term),
+                _ => {}
+            }
+            if matches!(reply, WorkerReply::Lost | WorkerReply::NotSent) {
+                // It will report, or fall silent; either way there is no hurry.
+                machine.push.not_before = now + 2_000;
+                machine.push.wanted = machine.heard_at.is_none();
+            }
+        }
+        if let WorkerReply::Done(report) | WorkerReply::Refused(report) = reply {
+            self.take_report(&report);
+        }
+    }
+
+    /// Merges a report as the owner. `None`: it was not the owner's to take.
+    fn take_report(&mut self, report: &Report) -> Option<Merged> {
+        let now = self.now;
+        if !self.ownership.acting(now) {
+            return None;
+        }
+        let share = self.share.as_mut()?;
+        let merged = share.merge_report(now, report);
+        match merged {
+            Merged::New(ix) => {
+                self.worker_heard_at = now;
+                self.place_wanted = true;
+                if let Some(machine) = share.machines.get_mut(ix) {
+                    machine.push.wanted |= !machine.strays.is_empty() && machine.push.not_before <= now;
+                }
+            }
+            Merged::Outranked => {
+                // Somebody claimed after us, whatever our lease says.
+                tracing::warn!(
+                    token = report.token,
+                    term = self.ownership.term,
+                    "a worker has seen a higher token"
+                );
+                self.stand_by(1_000);
+                self.mirror.restart();
+            }
+            Merged::Old | Merged::Gone => {}
+        }
+        Some(merged)
+    }
+
+    /// Answers a worker's report as the owner: the token, and its commands.
+    pub(super) fn answer_report(&mut self, report: &Report) -> Option<ReportAnswer> {
+        let merged = self.take_report(report)?;
+        let (now, token) = (self.now, self.ownership.term);
+        let share = self.share.as_mut()?;
+        let commands = match merged {
+            Merged::New(ix) => {
+                let commands = share.commands(now, ix);
+                if let Some(machine) = share.machines.get_mut(ix) {
+                    machine.answered_at = now;
+                    machine.push.wanted = false;
+                }
+                commands
+            }
+            Merged::Old => {
+                if let Some(machine) = share
+                    .machines
+                    .find(&report.machine)
+                    .and_then(|ix| share.machines.get_mut(ix))
+                {
+                    machine.answered_at = now;
+                }
+                Vec::new()
+            }
+            Merged::Outranked | Merged::Gone => return None,
+        };
+        Some(ReportAnswer { token, commands })
+    }
+
+    fn send_counts(&mut self) {
+        if self.now < self.counts_at + COUNTS_EVERY_MS {
+            return;
+        }
+        self.counts_at = self.now;
+        let Some(share) = &self.share else {
+            return;
+        };
+        let counts: Vec<_> = share
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.ended.is_none())
+            .filter_map(|(_, job)| {
+                share
+                    .counts(&job.id)
+                    .map(|(done, running)| (job.id.clone(), done, running))
+            })
+            .take(2_000)
+            .collect();
+        for node in self.peers.names() {
+            self.outputs.push(Output::Peer {
+                node,
+                message: Message::Counts {
+                    share: SHARE.into(),
+                    counts: counts.clone(),
+                },
+            });
+        }
+    }
+}
+
+/// Requests that mean something only within one term.
+fn owners(purpose: &Purpose) -> bool {
+    matches!(
+        purpose,
+        Purpose::Load(_) | Purpose::Commit | Purpose::CheckClaim | Purpose::Renew { .. } | Purpose::Claim { .. }
+    )
+}
--- /dev/null
+++ b/src/controller/share.rs
@@ -0,0 +1,465 @@
+use crate::Millis;
+use crate::fleet::{Fleet, Hire, HireValue, RosterValue};
+use crate::ids::{Ix, Names, Table};
+use crate::pipeline::ledger::Ledger;
+use crate::pipeline::{ChunkValue, Door, Job, chunk_tasks, error_pause};
+use crate::placement::{TeamUse, TypeInfo, need};
+use crate::policy::Policy;
+use crate::settings::Settings;
+use crate::store::{JobKey, Keys};
+use crate::wire::{Catalogue, Entry, ListedMachine, MachineState, Standing, TaskState};
+use crate::workers::{Attempt, Attempts, Machine, Outcome, Room};
+use std::collections::BTreeMap;
+
+/// Machines deleted are remembered this long, since lists and reports lag.
+const TOMBSTONE_MS: Millis = 120_000;
+/// A machine on which a task failed gets no new tasks for this long, so that a
+/// sick one can't swallow a whole queue.
+const REST_MS: Millis = 5_000;
+
+/// Everything that the owner of a share knows of it. Made anew for every term.
+pub struct Share {
+    pub name: String,
+    pub term: u64,
+    pub policy: Policy,
+    pub report_s: f64,
+    /// After this much time without an answer a worker has dropped its tasks.
+    pub lapse_ms: Millis,
+    pub chunk_tasks: u32,
+    pub machine_prefix: String,
+    pub hire_prefix: String,
+
+    pub team_names: Names,
+    pub types: Names,
+    pub zones: Names,
+    pub images: Names,
+    pub classes: Names,
+    pub type_info: Vec<Option<TypeInfo>>,
+    pub teams_use: Vec<TeamUse>,
+    pub class_shape: BTreeMap<Ix, Room>,
+
+    pub jobs: Table<Job>,
+    pub attempts: Attempts,
+    pub machines: Table<Machine>,
+    pub tombstones: BTreeMap<String, Millis>,
+    pub ledger: Ledger,
+    pub fleet: Fleet,
+    /// Starts that may still arrive have to be withdrawn by a higher term.
+    pub withdraw: bool,
+}
+
+impl Share {
+    pub fn new(name: &str, term: u64, settings: &Settings, policy: &Policy) -> Share {
+        let keys = Keys::new(name);
+        let params = &settings.params;
+        let mut team_names = Names::default();
+        let mut teams_use = Vec::new();
+        for team in &params.teams {
+            team_names.intern(&team.name);
+            let room = |cpus, gpus| Room {
+                cpus,
+                gpus,
+                memory_gb: 0.0,
+            };
+            teams_use.push(TeamUse {
+                guarantee: room(team.cpus, team.gpus),
+                limit: room(team.cpus_max, team.gpus_max),
+                used: Room::default(),
+            });
+        }
+        let mut zones = Names::default();
+        for zone in &params.zones {
+            zones.intern(zone);
+        }
+        Share {
+            name: name.into(),
+            term,
+            policy: policy.clone(),
+            report_s: params.workers.report_s,
+            // Drift of both clocks, and a second for good measure.
+            lapse_ms: crate::millis(params.workers.lease_s * 1.002) + 1_000,
+            chunk_tasks: chunk_tasks(params.state.value_kb),
+            machine_prefix: keys.machines(),
+            hire_prefix: keys.hires(),
+            team_names,
+            types: Names::default(),
+            zones,
+            images: Names::default(),
+            classes: Names::default(),
+            type_info: Vec::new(),
+            teams_use,
+            class_shape: BTreeMap::new(),
+            jobs: Table::default(),
+            attempts: Attempts::default(),
+            machines: Table::default(),
+            tombstones: BTreeMap::new(),
+            ledger: Ledger::default(),
+            fleet: Fleet::default(),
+            withdraw: false,
+        }
+    }
+
+    pub fn set_catalogue(&mut self, catalogue: &Catalogue) {
+        for info in &catalogue.types {
+            let ix = self.type_ix(&info.name) as usize;
+            let zones = info.zones.iter().map(|zone| self.zones.intern(zone)).collect();
+            self.type_info[ix] = Some(TypeInfo {
+                room: Room {
+                    cpus: info.cpus,
+                    gpus: info.gpus,
+                    memory_gb: info.memory_gb,
+                },
+                cache_gb: info.cache_gb,
+                fetch_gb_per_s: info.fetch_gb_per_s,
+                price: info.price,
+                spot_price: info.spot_price,
+                boot_s: info.boot_s,
+                zones,
+            });
+        }
+    }
+
+    fn type_ix(&mut self, name: &str) -> Ix {
+        let ix = self.types.intern(name);
+        if self.type_info.len() <= ix as usize {
+            self.type_info.resize(ix as usize + 1, None);
+        }
+        ix
+    }
+
+    pub fn add_machine(&mut self, now: Millis, name: &str, type_name: &str, zone: &str, spot: bool) -> Ix {
+        let type_ix = self.type_ix(type_name);
+        let zone = self.zones.intern(zone);
+        let ix = self.machines.insert(name, Machine::new(name, type_ix, zone, spot, now));
+        self.ledger.machines.insert(ix);
+        ix
+    }
+
+    /// Takes over what the former owner left: machines first, then hires, then
+    /// every written firing. Jobs come by the mirror before these.
+    pub fn load_machine(&mut self, now: Millis, name: &str, entry: &Entry) {
+        let Ok(value) = serde_json::from_value::<RosterValue>(entry.value.clone()) else {
+            tracing::error!(key = entry.key, "a roster key can't be read");
+            return;
+        };
+        let ix = self.add_machine(now, name, &value.machine_type, &value.zone, value.spot);
+        self.ledger.machines.remove(&ix);
+        let doubt = self.term.saturating_sub(1);
+        if let Some(machine) = self.machines.get_mut(ix) {
+            machine.address = value.address;
+            machine.version = entry.version;
+            machine.roster_dirty = false;
+            // A start sent under an earlier term may still be on its way.
+            machine.doubt = doubt;
+        }
+    }
+
+    pub fn load_hire(&mut self, entry: &Entry) {
+        match serde_json::from_value::<HireValue>(entry.value.clone()) {
+            Ok(value) => self.fleet.hires.push(Hire {
+                value,
+                version: entry.version,
+                in_flight: false,
+                not_before: 0,
+            }),
+            Err(error) => tracing::error!(key = entry.key, %error, "a hire key can't be read"),
+        }
+    }
+
+    pub fn load_chunk(&mut self, now: Millis, job: &str, number: u32, entry: &Entry) {
+        let Ok(value) = serde_json::from_value::<ChunkValue>(entry.value.clone()) else {
+            tracing::error!(key = entry.key, "a firing key can't be read");
+            return;
+        };
+        let Some(job_ix) = self.jobs.find(job) else {
+            tracing::error!(key = entry.key, "a firing without a job");
+            return;
+        };
+        let first = number * self.chunk_tasks;
+        for (task, attempt, machine_name, session) in value.open {
+            let machine_ix = match self.machines.find(&machine_name) {
+                Some(ix) => ix,
+                None => {
+                    // Its roster key is dropped only after a deletion that the
+                    // cloud confirmed, so nothing of it is left.
+                    continue;
+                }
+            };
+            let Some(job) = self.jobs.get_mut(job_ix) else {
+                continue;
+            };
+            let room = need(job);
+            let ended = job.ended.is_some();
+            let ix = self.attempts.insert(Attempt {
+                job: job_ix,
+                task,
+                number: attempt,
+                machine: machine_ix,
+                session,
+                written: true,
+                writing: false,
+                seen: None,
+                running_since: None,
+                start_sent: None,
+                stop: ended.then_some(0.0),
+            });
+            job.open.insert(task, ix);
+            self.teams_use[job.team as usize].used.add(room);
+            let (image, gb) = (job.image, job.spec.image_gb);
+            if let Some(machine) = self.machines.get_mut(machine_ix) {
+                machine.used.add(room);
+                machine.open.push(ix);
+                machine.session = machine.session.max(session);
+                machine.touch(image, gb, f64::MAX);
+                machine.idle_since = now;
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(job_ix)
+            && let Some(chunk) = job.chunks.get_mut(number as usize)
+        {
+            chunk.version = entry.version;
+            chunk.next = value.next;
+            job.done.add_text(first, &value.done);
+        }
+    }
+
+    /// After loading: sets going what needs no event to go on.
+    pub fn loaded(&mut self) {
+        for ix in self.jobs.indices() {
+            let Some(job) = self.jobs.get(ix) else {
+                continue;
+            };
+            if job.ended.is_some() {
+                if job.open.is_empty() {
+                    self.ledger.cleanups.insert(ix);
+                }
+            } else if job.complete() {
+                self.ledger.finished.insert(ix);
+            }
+        }
+    }
+
+    /// A job key appeared or changed.
+    pub fn job_changed(&mut self, now: Millis, id: &str, key: &JobKey, version: u64) {
+        let Some(ix) = self.jobs.find(id) else {
+            let mut door = Door {
+                teams: &self.team_names,
+                types: &mut self.types,
+                zones: &mut self.zones,
+                images: &mut self.images,
+                classes: &mut self.classes,
+            };
+            match door.admit(key, version, self.chunk_tasks) {
+                Some(job) => {
+                    let ended = job.ended.is_some();
+                    let ix = self.jobs.insert(id, job);
+                    if ended {
+                        self.ledger.cleanups.insert(ix);
+                    }
+                }
+                None => tracing::error!(job = id, "a job of an unknown team"),
+            }
+            self.type_info.resize(self.types.len(), None);
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(ix) else {
+            return;
+        };
+        if version <= job.key_version {
+            return;
+        }
+        job.key_version = version;
+        if job.ended.is_none() && key.ended.is_some() {
+            job.ended = key.ended;
+            if key.ended == Some(Standing::Cancelled) {
+                self.stop_all(now, ix);
+            }
+        }
+    }
+
+    /// A cancelled job: nothing more starts, and what is open has to end.
+    fn stop_all(&mut self, now: Millis, ix: Ix) {
+        let Some(job) = self.jobs.get(ix) else {
+            return;
+        };
+        let open: Vec<Ix> = job.open.values().copied().collect();
+        for attempt_ix in open {
+            let Some(attempt) = self.attempts.get_mut(attempt_ix) else {
+                continue;
+            };
+            attempt.stop = Some(0.0);
+            let machine = attempt.machine;
+            if !attempt.written && !attempt.writing {
+                self.close(now, attempt_ix, Outcome::Lost);
+            } else if let Some(machine) = self.machines.get_mut(machine) {
+                machine.push.wanted = true;
+            }
+        }
+        if self.jobs.get(ix).is_some_and(|job| job.open.is_empty()) {
+            self.ledger.cleanups.insert(ix);
+        }
+    }
+
+    /// After a transaction that was surely not applied: drops what was planned
+    /// for jobs that have ended since.
+    pub fn drop_unwritten(&mut self, now: Millis) {
+        for ix in self.jobs.indices() {
+            if self
+                .jobs
+                .get(ix)
+                .is_some_and(|job| job.ended == Some(Standing::Cancelled))
+            {
+                self.stop_all(now, ix);
+            }
+        }
+    }
+
+    /// An attempt is proven over: frees what it took and decides what follows.
+    pub fn close(&mut self, now: Millis, ix: Ix, outcome: Outcome) {
+        let Some(attempt) = self.attempts.remove(ix) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(attempt.job) else {
+            return;
+        };
+        let room = need(job);
+        self.teams_use[job.team as usize].used.take(room);
+        job.open.remove(&attempt.task);
+        if let Some(machine) = self.machines.get_mut(attempt.machine) {
+            machine.open.retain(|&other| other != ix);
+            machine.used.take(room);
+            if machine.open.is_empty() {
+                machine.used = Room::default();
+                machine.idle_since = now;
+            }
+            match outcome {
+                Outcome::Done => machine.failing.clear(),
+                Outcome::Error => {
+                    machine.rest_until = now + REST_MS;
+                    // A job that fails everywhere says nothing of the machine.
+                    if job.errors < 2 && !machine.failing.contains(&attempt.job) {
+                        machine.failing.push(attempt.job);
+                    }
+                }
+                Outcome::Refused => machine.rest_until = now + 1_000,
+                _ => {}
+            }
+        }
+        let number = job.chunk_of(attempt.task, self.chunk_tasks);
+        match outcome {
+            Outcome::Done => {
+                job.errors = 0;
+                job.failed_on.clear();
+                job.done.insert(attempt.task);
+            }
+            Outcome::Error => {
+                job.errors += 1;
+                if !job.failed_on.contains(&attempt.machine) && job.failed_on.len() < 3 {
+                    job.failed_on.push(attempt.machine);
+                } else {
+                    job.failed_on.clear();
+                }
+                job.run_again(attempt.task, now + error_pause(job.errors));
+            }
+            Outcome::Refused => job.run_again(attempt.task, now + 500),
+            Outcome::Stopped | Outcome::Lost => job.run_again(attempt.task, now),
+        }
+        if job.ended.is_some() {
+            if job.open.is_empty() {
+                self.ledger.cleanups.insert(attempt.job);
+            }
+            return;
+        }
+        if let Some(chunk) = job.chunks.get_mut(number) {
+            chunk.dirty = true;
+        }
+        self.ledger.chunks.insert((attempt.job, number as u32));
+        if job.complete() {
+            self.ledger.finished.insert(attempt.job);
+        }
+    }
+
+    /// The cloud confirmed that these machines are gone, with all on them.
+    pub fn machines_gone(&mut self, now: Millis, names: &[String]) {
+        for name in names {
+            let Some(ix) = self.machines.find(name) else {
+                continue;
+            };
+            let Some(machine) = self.machines.get(ix) else {
+                continue;
+            };
+            for attempt in machine.open.clone() {
+                self.close(now, attempt, Outcome::Lost);
+            }
+            let Some(machine) = self.machines.get_mut(ix) else {
+                continue;
+            };
+            if machine.roster_writing {
+                // Its key's version is not known yet; the deletion is repeated.
+                machine.deleting = false;
+                continue;
+            }
+            if machine.version > 0 {
+                let version = machine.version;
+                self.ledger.dropped.push_back((name.clone(), version));
+            }
+            self.ledger.machines.remove(&ix);
+            self.machines.remove(name);
+            self.tombstones.insert(name.clone(), now);
+            // The index may be given to another machine.
+            for (_, job) in self.jobs.iter_mut() {
+                job.failed_on.retain(|&failed| failed != ix);
+            }
+        }
+        self.tombstones.retain(|_, &mut at| now < at + TOMBSTONE_MS);
+    }
+
+    /// One page of the cloud's list. Lists lag and may go back in time, so
+    /// absence proves nothing; what is there is learned.
+    pub fn listed(&mut self, now: Millis, machines: &[ListedMachine]) {
+        for listed in machines {
+            if self.tombstones.contains_key(&listed.id) {
+                continue;
+            }
+            let ix = match self.machines.find(&listed.id) {
+                Some(ix) => ix,
+                None => {
+                    let ix = self.add_machine(now, &listed.id, &listed.machine_type, &listed.zone, listed.spot);
+                    if let Some(machine) = self.machines.get_mut(ix) {
+                        machine.hired_at = now.saturating_sub(crate::millis(listed.age_s));
+                    }
+                    ix
+                }
+            };
+            let Some(machine) = self.machines.get_mut(ix) else {
+                continue;
+            };
+            if machine.address.is_none() && listed.address.is_some() {
+                machine.address = listed.address.clone();
+                machine.roster_dirty = true;
+                self.ledger.machines.insert(ix);
+            }
+            if listed.state == MachineState::Running && machine.heard_at.is_none() {
+                machine.push.wanted = true;
+            }
+            if listed.state == MachineState::Failed && !machine.condemned {
+                tracing::info!(machine = machine.name, "a machine has failed");
+                machine.condemned = true;
+            }
+        }
+    }
+
+    /// Tasks done and on machines, for display.
+    pub fn counts(&self, id: &str) -> Option<(u32, u32)> {
+        let job = self.jobs.find(id).and_then(|ix| self.jobs.get(ix))?;
+        let running = job
+            .open
+            .values()
+            .filter(|&&ix| {
+                let seen = self.attempts.get(ix).and_then(|attempt| attempt.seen);
+                matches!(seen, Some(TaskState::Running | TaskState::Saving))
+            })
+            .count() as u32;
+        Some((job.done.len(), running))
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,64 @@
+//! Renting and returning machines: what the forecast needs, at what price, and
+//! which machines are past use.
+
+mod plan;
+
+use crate::Millis;
+use crate::ids::Ix;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// A machine's roster key: what a successor must know of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RosterValue {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<String>,
+}
+
+/// A hire's key, written before the cloud is asked, so that a successor can
+/// repeat the same request and learn what came of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HireValue {
+    pub request: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub count: u32,
+}
+
+/// A hire written and not yet answered for.
+#[derive(Clone, Debug)]
+pub struct Hire {
+    pub value: HireValue,
+    pub version: u64,
+    pub in_flight: bool,
+    pub not_before: Millis,
+}
+
+/// One way of renting: type, zone, spot or not.
+pub type Offer = (Ix, Ix, bool);
+
+/// What the jobs of one class ask of machines, and how many at once.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    pub now: f64,
+    /// Samples of tasks wanted at once, over the forecast period.
+    pub history: VecDeque<(Millis, f64)>,
+}
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub hires: Vec<Hire>,
+    next_request: u64,
+    /// Offers refused lately, and until when they are left alone.
+    pub refused: BTreeMap<Offer, Millis>,
+    pub demand: BTreeMap<Ix, Demand>,
+    pub planned_at: Millis,
+    pub listed_at: Millis,
+    pub listing: bool,
+    pub deleting: bool,
+    pub delete_not_before: Millis,
+}
--- /dev/null
+++ b/src/fleet/plan.rs
@@ -0,0 +1,291 @@
+use super::{Demand, HireValue, Offer};
+use crate::Millis;
+use crate::controller::Share;
+use crate::ids::Ix;
+use crate::pipeline::Job;
+use crate::placement::need;
+use crate::workers::Room;
+use std::collections::BTreeMap;
+
+const PLAN_EVERY_MS: Millis = 1_000;
+/// A machine may take several times its boot time; after this much more it is
+/// taken for one that never comes up.
+const BOOT_PATIENCE: f64 = 3.0;
+/// Machines asked for at once by one request.
+const MAX_HIRE: u32 = 10;
+
+/// A number of like tasks wanted at once.
+struct Want {
+    room: Room,
+    job: Ix,
+    count: u32,
+}
+
+impl Share {
+    /// Looks over the machines and the forecast; hires and condemns.
+    pub fn plan_fleet(&mut self, now: Millis) {
+        if now < self.fleet.planned_at + PLAN_EVERY_MS {
+            return;
+        }
+        self.fleet.planned_at = now;
+        self.condemn_broken(now);
+        let wants = self.forecast(now);
+        self.fit(now, wants);
+    }
+
+    fn condemn_broken(&mut self, now: Millis) {
+        let silent_ms = crate::millis(self.policy.silent_reports * self.report_s * 1.25);
+        let heard = self.machines.iter().filter(|(_, m)| m.heard_at.is_some());
+        let heard: Vec<(Ix, Millis)> = heard.map(|(ix, m)| (ix, m.heard_at.unwrap_or(0))).collect();
+        let silent: Vec<Ix> = heard
+            .iter()
+            .filter(|(_, at)| now > at + silent_ms)
+            .map(|(ix, _)| *ix)
+            .collect();
+        // When many fall silent at once it may be this controller that is cut
+        // off, and deleting live machines is the costliest mistake: only those
+        // go whose worker's lease has lapsed anyway.
+        let many = silent.len() >= 3 && silent.len() * 2 > heard.len();
+        for ix in self.machines.indices() {
+            let Some(machine) = self.machines.get_mut(ix) else {
+                continue;
+            };
+            if machine.condemned {
+                continue;
+            }
+            let boot_s = self.type_info[machine.type_ix as usize]
+                .as_ref()
+                .map_or(60.0, |info| info.boot_s);
+            let lapsed = now > machine.answered_at + self.lapse_ms;
+            let reason = if silent.contains(&ix) && (!many || lapsed) {
+                "silent"
+            } else if machine.heard_at.is_none()
+                && now > machine.hired_at + crate::millis(boot_s * BOOT_PATIENCE) + 10_000
+                && lapsed
+            {
+                "never came up"
+            } else if machine.failing.len() >= 2 {
+                "fails its tasks"
+            } else if machine
+                .taken_at
+                .is_some_and(|at| now + 1_000 > at || machine.open.is_empty())
+            {
+                "taken by the cloud"
+            } else {
+                continue;
+            };
+            tracing::info!(machine = machine.name, reason, "giving up a machine");
+            machine.condemned = true;
+        }
+    }
+
+    /// Tasks of each class to be ready for: what waits and runs now, or what
+    /// ran on average lately with some headroom, whichever is more.
+    fn forecast(&mut self, now: Millis) -> Vec<Want> {
+        let mut shapes: BTreeMap<Ix, (Ix, u64)> = BTreeMap::new();
+        let mut team_wants: BTreeMap<(Ix, Ix), (f64, f64)> = BTreeMap::new();
+        for (ix, job) in self.jobs.iter().filter(|(_, job)| job.live()) {
+            let shape = shapes.entry(job.class).or_insert((ix, job.accepted_ms));
+            if job.accepted_ms >= shape.1 {
+                *shape = (ix, job.accepted_ms);
+            }
+            // A job that keeps failing must not rent machines.
+            let waiting = if job.errors > 3 { 0 } else { job.waiting() };
+            let wanted = f64::from(waiting) + job.open.len() as f64;
+            let entry = team_wants.entry((job.class, job.team)).or_default();
+            entry.0 += wanted;
+            entry.1 = job.spec.cpus;
+        }
+        for demand in self.fleet.demand.values_mut() {
+            demand.now = 0.0;
+        }
+        for ((class, team), (wanted, cpus)) in team_wants {
+            let limit = self.teams_use[team as usize].limit.cpus;
+            let most = if limit > 0.0 && cpus > 0.0 {
+                (limit / cpus).floor()
+            } else {
+                f64::MAX
+            };
+            self.fleet.demand.entry(class).or_default().now += wanted.min(most);
+        }
+        let horizon = crate::millis(self.policy.forecast_s);
+        let mut wants = Vec::new();
+        for (&class, demand) in &mut self.fleet.demand {
+            demand.history.push_back((now, demand.now));
+            while demand.history.front().is_some_and(|&(at, _)| at + horizon < now) {
+                demand.history.pop_front();
+            }
+            if let Some(&(job, _)) = shapes.get(&class) {
+                self.class_shape
+                    .insert(class, self.jobs.get(job).map(need).unwrap_or_default());
+            }
+            let count = demand.target(self.policy.headroom);
+            let room = self.class_shape.get(&class).copied().unwrap_or_default();
+            if count > 0 {
+                let job = shapes.get(&class).map_or(Ix::MAX, |&(job, _)| job);
+                wants.push(Want { room, job, count });
+            }
+        }
+        wants.sort_by(|a, b| b.room.cpus.total_cmp(&a.room.cpus));
+        wants
+    }
+
+    /// Packs the forecast into the machines there are and on their way; hires
+    /// for what is left over and returns what stays unused.
+    fn fit(&mut self, now: Millis, wants: Vec<Want>) {
+        let mut free: Vec<(Ix, bool, Room)> = Vec::new();
+        for (ix, machine) in self.machines.iter() {
+            if machine.condemned || machine.taken_at.is_some() {
+                continue;
+            }
+            if let Some(info) = &self.type_info[machine.type_ix as usize] {
+                free.push((ix, false, info.room));
+            }
+        }
+        // Small and busy ones are filled first, idle and dear ones last.
+        let machines = &self.machines;
+        free.sort_by(|(a, _, room_a), (b, _, room_b)| {
+            let key = |ix: Ix| {
+                machines
+                    .get(ix)
+                    .map(|m| (m.open.is_empty(), !m.spot))
+                    .unwrap_or((true, true))
+            };
+            room_a.cpus.total_cmp(&room_b.cpus).then(key(*a).cmp(&key(*b)))
+        });
+        let coming: u32 = self.fleet.hires.iter().map(|hire| hire.value.count).sum::<u32>()
+            + self.ledger.hires.iter().map(|hire| hire.count).sum::<u32>();
+        let mut new_machines: BTreeMap<Offer, u32> = BTreeMap::new();
+        for want in wants {
+            let mut left = want.count;
+            for (ix, used, room) in &mut free {
+                if left == 0 {
+                    break;
+                }
+                let spot = self.machines.get(*ix).is_some_and(|machine| machine.spot);
+                if let Some(job) = self.jobs.get(want.job)
+                    && spot
+                    && !job.spec.spot
+                {
+                    continue;
+                }
+                let fits = room.count(want.room).min(left);
+                for _ in 0..fits {
+                    room.take(want.room);
+                }
+                *used |= fits > 0;
+                left -= fits;
+            }
+            // Nothing new is rented while the last requests are unanswered:
+            // what they bring is not counted yet.
+            while left > 0 && coming == 0 {
+                let Some((offer, fits)) = self.best_offer(now, &want, left, &new_machines) else {
+                    break;
+                };
+                *new_machines.entry(offer).or_default() += 1;
+                left = left.saturating_sub(fits);
+            }
+        }
+        let mut total = self.machines.len() as u32;
+        for (offer, count) in new_machines {
+            let most = (self.policy.max_machines as u32).saturating_sub(total);
+            let count = count.min(MAX_HIRE).min(most);
+            if count > 0 {
+                total += count;
+                self.hire(offer, count);
+            }
+        }
+        let idle_ms = crate::millis(self.policy.idle_return_s);
+        for (ix, used, _) in free {
+            let Some(machine) = self.machines.get_mut(ix) else {
+                continue;
+            };
+            let up = machine.heard_at.is_some();
+            if !used && up && machine.open.is_empty() && now > machine.idle_since + idle_ms {
+                tracing::info!(machine = machine.name, "returning an idle machine");
+                machine.condemned = true;
+            }
+        }
+    }
+
+    /// The cheapest way to rent room for the wanted tasks.
+    fn best_offer(&self, now: Millis, want: &Want, left: u32, planned: &BTreeMap<Offer, u32>) -> Option<(Offer, u32)> {
+        let job: Option<&Job> = self.jobs.get(want.job);
+        let mut best: Option<((f64, u32), Offer, u32)> = None;
+        for (type_ix, info) in self.type_info.iter().enumerate() {
+            let Some(info) = info else {
+                continue;
+            };
+            let type_ix = type_ix as Ix;
+            if job.is_some_and(|job| job.types.as_ref().is_some_and(|types| !types.contains(&type_ix))) {
+                continue;
+            }
+            let fits = info.room.count(want.room);
+            if fits == 0 {
+                continue;
+            }
+            for &zone in &info.zones {
+                if job.is_some_and(|job| job.zone.is_some_and(|only| only != zone)) {
+                    continue;
+                }
+                for spot in [true, false] {
+                    let price = match (spot, info.spot_price) {
+                        (true, Some(price)) if job.is_none_or(|job| job.spec.spot) => price,
+                        (false, _) => info.price,
+                        _ => continue,
+                    };
+                    let offer = (type_ix, zone, spot);
+                    if self.fleet.refused.get(&offer).is_some_and(|&until| now < until) {
+                        continue;
+                    }
+                    let cost = price / f64::from(fits.min(left));
+                    let there = planned.get(&offer).copied().unwrap_or(0)
+                        + self.machines.iter().filter(|(_, m)| m.zone == zone).count() as u32;
+                    let rank = (cost, there);
+                    if best.is_none_or(|(other, ..)| rank.0.total_cmp(&other.0).then(rank.1.cmp(&other.1)).is_lt()) {
+                        best = Some((rank, offer, fits));
+                    }
+                }
+            }
+        }
+        best.map(|(_, offer, fits)| (offer, fits))
+    }
+
+    fn hire(&mut self, (type_ix, zone, spot): Offer, count: u32) {
+        // The term is ours alone, so the name was never used before.
+        let request = format!("{}-{}-{}", self.name, self.term, self.fleet.next_request);
+        self.fleet.next_request += 1;
+        self.ledger.hires.push_back(HireValue {
+            request,
+            machine_type: self.types.name(type_ix).into(),
+            zone: self.zones.name(zone).into(),
+            spot,
+            count,
+        });
+    }
+}
+
+impl Demand {
+    fn target(&self, headroom: f64) -> u32 {
+        let samples = self.history.len().max(1) as f64;
+        let mean = self.history.iter().map(|(_, wanted)| wanted).sum::<f64>() / samples;
+        (mean * (1.0 + headroom)).ceil().max(self.now) as u32
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_target_covers_what_waits_now_and_the_mean_with_headroom() {
+        let demand = Demand {
+            now: 3.0,
+            history: [(0, 8.0), (1, 12.0)].into(),
+        };
+        assert_eq!(demand.target(0.25), 13);
+        let demand = Demand { now: 40.0, ..demand };
+        assert_eq!(demand.target(0.25), 40);
+        assert_eq!(Demand::default().target(0.25), 0);
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,36 @@
+//! sumacbend: a cluster scheduler whose controllers keep all state in a small
+//! consistent store and share the work of one pool of machines.
+//!
+//! Every slice keeps its own state and messages; [`controller`] composes them
+//! into one deterministic state machine and [`runtime`] alone does I/O.
+
+pub mod controller;
+pub mod fleet;
+pub mod ids;
+pub mod intake;
+pub mod ownership;
+pub mod peers;
+pub mod pipeline;
+pub mod placement;
+pub mod policy;
+pub mod runtime;
+pub mod settings;
+pub mod store;
+pub mod wire;
+pub mod workers;
+
+/// Milliseconds on the steady clock of this process.
+pub type Millis = u64;
+
+/// The two clocks of a step. Leases and waits use `steady`; only times that
+/// must outlive a process (submission times) use `wall`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Now {
+    pub steady: Millis,
+    pub wall: Millis,
+}
+
+/// Converts seconds as the protocols give them; hostile values saturate.
+pub fn millis(seconds: f64) -> Millis {
+    (seconds.max(0.0) * 1000.0).min(1e15) as Millis
+}
--- /dev/null
+++ b/src/ownership/mod.rs
@@ -0,0 +1,287 @@
+//! The lease on the share and its rising term.
+//!
+//! One key holds the claim and is attached to a lease of the state service; the
+//! claiming transaction also raises the term, which is the worker token. The
+//! lease's validity is reckoned from when the last successful renewal was
+//! *sent*, so it may be found lapsed early, never late.
+
+use crate::Millis;
+use crate::store::{Keys, Mirror, OwnerValue};
+use crate::wire::{Change, Condition, Transaction};
+use serde_json::json;
+
+pub const LEASE_MS: u64 = 4_000;
+const RENEW_EVERY_MS: u64 = 1_000;
+const RETRY_MS: u64 = 300;
+/// Clock drift over one lease and the time between looking and acting.
+const MARGIN_MS: u64 = 300;
+/// A controller that hears no other waits this much longer before it claims,
+/// so that one that can talk to the others goes first.
+const ALONE_DELAY_MS: u64 = 1_500;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Standby,
+    /// A lease was asked for; the claim follows.
+    Granting,
+    Claiming,
+    /// The claim holds; jobs, firings and machines are being read.
+    Loading,
+    Active,
+}
+
+#[derive(Debug)]
+pub struct Ownership {
+    node: String,
+    life: u64,
+    pub phase: Phase,
+    pub term: u64,
+    /// Version of the claim key; every transaction of the owner depends on it.
+    pub claim_version: u64,
+    lease: Option<u64>,
+    valid_until: Millis,
+    /// When the request now in flight was sent, if any.
+    asked_at: Option<Millis>,
+    next_renewal: Millis,
+    hold_off_until: Millis,
+    vacant_since: Option<Millis>,
+    /// The lapse of the lease was noticed: acting again needs a look at the claim.
+    pub suspended: bool,
+}
+
+/// What ownership wants sent.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Wish {
+    Grant,
+    Renew(u64),
+}
+
+impl Ownership {
+    pub fn new(node: &str, life: u64) -> Ownership {
+        Ownership {
+            node: node.into(),
+            life,
+            phase: Phase::Standby,
+            term: 0,
+            claim_version: 0,
+            lease: None,
+            valid_until: 0,
+            asked_at: None,
+            next_renewal: 0,
+            hold_off_until: 0,
+            vacant_since: None,
+            suspended: false,
+        }
+    }
+
+    /// True while the lease is surely ours.
+    pub fn proven(&self, now: Millis) -> bool {
+        matches!(self.phase, Phase::Loading | Phase::Active) && !self.suspended && now < self.valid_until
+    }
+
+    pub fn acting(&self, now: Millis) -> bool {
+        self.phase == Phase::Active && self.proven(now)
+    }
+
+    pub fn holds_claim(&self) -> bool {
+        matches!(self.phase, Phase::Loading | Phase::Active)
+    }
+
+    pub fn condition(&self, keys: &Keys) -> Condition {
+        Condition {
+            key: keys.owner(),
+            version: self.claim_version,
+        }
+    }
+
+    /// What to send now. `others_heard`: whether another controller is in reach.
+    pub fn poll(&mut self, now: Millis, mirror: &Mirror, others_heard: bool) -> Option<Wish> {
+        if self.holds_claim() && now >= self.valid_until && !self.suspended {
+            tracing::warn!(term = self.term, "the lease can't be shown valid; acting no more");
+            self.suspended = true;
+        }
+        match self.phase {
+            Phase::Standby => {
+                if !mirror.complete {
+                    return None;
+                }
+                // A claim by an earlier life of this process is as good as none.
+                let vacant = match &mirror.owner {
+                    None => true,
+                    Some((owner, _)) => owner.node == self.node && owner.life != self.life,
+                };
+                if !vacant {
+                    self.vacant_since = None;
+                    return None;
+                }
+                let since = *self.vacant_since.get_or_insert(now);
+                let delay = if others_heard { 0 } else { ALONE_DELAY_MS };
+                if now < since + delay || now < self.hold_off_until {
+                    return None;
+                }
+                self.phase = Phase::Granting;
+                self.asked_at = Some(now);
+                Some(Wish::Grant)
+            }
+            Phase::Granting | Phase::Claiming => None,
+            Phase::Loading | Phase::Active => {
+                if now < self.next_renewal {
+                    return None;
+                }
+                self.next_renewal = now + RENEW_EVERY_MS;
+                self.lease.map(Wish::Renew)
+            }
+        }
+    }
+
+    pub fn granted(&mut self, lease: u64, sent: Millis, keys: &Keys, mirror: &Mirror) -> Transaction {
+        self.lease = Some(lease);
+        self.valid_until = sent + LEASE_MS - MARGIN_MS;
+        self.claim(
+            keys,
+            mirror.owner.as_ref().map_or(0, |(_, version)| *version),
+            mirror.term,
+        )
+    }
+
+    /// Claims once more over one's own claim: the term rises, and with it every
+    /// command still on its way is withdrawn.
+    pub fn reclaim(&mut self, keys: &Keys, mirror: &Mirror) -> Transaction {
+        self.claim(keys, self.claim_version, mirror.term)
+    }
+
+    fn claim(&mut self, keys: &Keys, owner_version: u64, (term, term_version): (u64, u64)) -> Transaction {
+        self.phase = Phase::Claiming;
+        self.term = term.max(self.term) + 1;
+        let value = OwnerValue {
+            node: self.node.clone(),
+            life: self.life,
+            term: self.term,
+        };
+        let condition = |key: String, version| Condition { key, version };
+        Transaction {
+            conditions: vec![
+                condition(keys.owner(), owner_version),
+                condition(keys.term(), term_version),
+            ],
+            changes: vec![
+                Change::Put {
+                    put: keys.owner(),
+                    value: json!(value),
+                    lease: self.lease,
+                },
+                Change::put(keys.term(), json!({ "term": self.term })),
+            ],
+        }
+    }
+
+    pub fn claimed(&mut self, version: u64) {
+        tracing::info!(term = self.term, "claimed the share");
+        self.claim_version = version;
+        self.phase = Phase::Loading;
+        self.next_renewal = 0;
+        self.suspended = false;
+    }
+
+    /// True if a claim key read from the store is the one last asked for.
+    pub fn is_mine(&self, owner: &OwnerValue) -> bool {
+        owner.node == self.node && owner.life == self.life && owner.term == self.term
+    }
+
+    pub fn renewed(&mut self, sent: Millis) {
+        self.valid_until = self.valid_until.max(sent + LEASE_MS - MARGIN_MS);
+    }
+
+    pub fn renewal_failed(&mut self, now: Millis) {
+        self.next_renewal = self.next_renewal.min(now + RETRY_MS);
+    }
+
+    /// The claim was looked at after a lapse and is still ours.
+    pub fn resume(&mut self, now: Millis) {
+        if now < self.valid_until {
+            tracing::info!(term = self.term, "the claim still holds; acting again");
+            self.suspended = false;
+        }
+    }
+
+    pub fn step_down(&mut self, now: Millis, hold_off: Millis) {
+        if self.phase != Phase::Standby {
+            tracing::info!(term = self.term, "standing by");
+        }
+        self.phase = Phase::Standby;
+        self.lease = None;
+        self.asked_at = None;
+        self.valid_until = 0;
+        self.suspended = false;
+        self.vacant_since = None;
+        self.hold_off_until = self.hold_off_until.max(now + hold_off);
+    }
+
+    /// When the grant in flight was sent.
+    pub fn asked_at(&self) -> Millis {
+        self.asked_at.unwrap_or(0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn claimed(sent: Millis) -> (Ownership, Keys, Mirror) {
+        let keys = Keys::new("pool");
+        let mirror = Mirror {
+            complete: true,
+            ..Mirror::default()
+        };
+        let mut ownership = Ownership::new("a", 1);
+        assert_eq!(ownership.poll(sent, &mirror, true), Some(Wish::Grant));
+        ownership.granted(9, sent, &keys, &mirror);
+        ownership.claimed(5);
+        ownership.phase = Phase::Active;
+        (ownership, keys, mirror)
+    }
+
+    #[test]
+    fn validity_counts_from_when_the_renewal_was_sent() {
+        let (mut ownership, keys, mirror) = claimed(1_000);
+        assert!(ownership.acting(1_000 + LEASE_MS - MARGIN_MS - 1));
+        assert!(!ownership.acting(1_000 + LEASE_MS - MARGIN_MS));
+        ownership.renewed(2_000);
+        assert!(ownership.acting(2_000 + LEASE_MS - MARGIN_MS - 1));
+        // Guards against acting again on a renewal alone: after a lapse another
+        // controller may have claimed and lost the share in between.
+        let lapsed = 2_000 + LEASE_MS;
+        ownership.poll(lapsed, &mirror, true);
+        ownership.renewed(lapsed);
+        assert!(!ownership.acting(lapsed + 1));
+        ownership.resume(lapsed + 1);
+        assert!(ownership.acting(lapsed + 1));
+    }
+
+    #[test]
+    fn a_controller_that_hears_nobody_lets_others_claim_first() {
+        let keys = Keys::new("pool");
+        let mirror = Mirror {
+            complete: true,
+            ..Mirror::default()
+        };
+        let mut ownership = Ownership::new("a", 1);
+        assert_eq!(ownership.poll(0, &mirror, false), None);
+        assert_eq!(ownership.poll(ALONE_DELAY_MS, &mirror, false), Some(Wish::Grant));
+    }
+
+    #[test]
+    fn every_claim_raises_the_term_and_depends_on_it() {
+        let (mut ownership, keys, mirror) = claimed(0);
+        let first = ownership.term;
+        let transaction = ownership.reclaim(&keys, &mirror);
+        assert!(ownership.term > first);
+        assert!(transaction.conditions.iter().any(|c| c.key == keys.term()));
+        assert!(
+            transaction
+                .conditions
+                .iter()
+                .any(|c| c.key == keys.owner() && c.version == 5)
+        );
+    }
+}
--- /dev/null
+++ b/src/peers/mod.rs
@@ -0,0 +1,172 @@
+//! The links between controllers: who is in reach, who owns the share, and
+//! what is forwarded or relayed.
+
+use crate::Millis;
+use crate::wire::{Report, ReportAnswer};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+pub const BEAT_EVERY_MS: Millis = 500;
+const HEARD_MS: Millis = 2_000;
+
+/// What a user asks, as one controller forwards it to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    Submit(String),
+    Show(String),
+    Cancel(String),
+}
+
+/// An answer to a user.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    pub status: u16,
+    pub body: String,
+    pub retry_after_s: Option<u32>,
+}
+
+/// How a relayed report was taken.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ReportReply {
+    Taken(ReportAnswer),
+    /// Go to this controller, or (`None`) to any other.
+    Elsewhere(Option<String>),
+}
+
+/// Messages between controllers. Each says which share it is about.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Sent all the time: who is there, and what it can reach.
+    Beat {
+        node: String,
+        share: String,
+        owns_term: Option<u64>,
+        store_ok: bool,
+    },
+    Forward {
+        share: String,
+        id: u64,
+        ask: Ask,
+    },
+    Forwarded {
+        id: u64,
+        answer: Answer,
+    },
+    Relay {
+        share: String,
+        id: u64,
+        report: Box<Report>,
+    },
+    Relayed {
+        id: u64,
+        reply: ReportReply,
+    },
+    /// Task counts of unfinished jobs, for display: id, done, running.
+    Counts {
+        share: String,
+        counts: Vec<(String, u32, u32)>,
+    },
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Link {
+    heard_at: Option<Millis>,
+    owns_term: Option<u64>,
+    store_ok: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Peers {
+    links: BTreeMap<String, Link>,
+    pub beat_at: Millis,
+    pub counts: BTreeMap<String, (u32, u32)>,
+}
+
+impl Peers {
+    pub fn new(nodes: impl IntoIterator<Item = String>) -> Peers {
+        Peers {
+            links: nodes.into_iter().map(|node| (node, Link::default())).collect(),
+            ..Peers::default()
+        }
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        self.links.keys().cloned().collect()
+    }
+
+    pub fn beat(&mut self, now: Millis, node: &str, owns_term: Option<u64>, store_ok: bool) {
+        if let Some(link) = self.links.get_mut(node) {
+            link.heard_at = Some(now);
+            link.owns_term = owns_term;
+            link.store_ok = store_ok;
+        }
+    }
+
+    pub fn in_reach(&self, now: Millis, node: &str) -> bool {
+        self.links.get(node).is_some_and(|link| heard(link, now))
+    }
+
+    pub fn any_in_reach(&self, now: Millis) -> bool {
+        self.links.values().any(|link| heard(link, now))
+    }
+
+    pub fn is_alone(&self) -> bool {
+        self.links.is_empty()
+    }
+
+    /// When the last beat of any other controller came.
+    pub fn last_heard(&self) -> Millis {
+        self.links.values().filter_map(|link| link.heard_at).max().unwrap_or(0)
+    }
+
+    /// The controller in reach that says it owns the share, under the highest term.
+    pub fn owner(&self, now: Millis) -> Option<&str> {
+        self.links
+            .iter()
+            .filter(|(_, link)| heard(link, now) && link.owns_term.is_some())
+            .max_by_key(|(_, link)| link.owns_term)
+            .map(|(node, _)| node.as_str())
+    }
+
+    /// A controller in reach that can use the state service.
+    pub fn with_store(&self, now: Millis) -> Option<&str> {
+        self.links
+            .iter()
+            .find(|(_, link)| heard(link, now) && link.store_ok)
+            .map(|(node, _)| node.as_str())
+    }
+}
+
+fn heard(link: &Link, now: Millis) -> bool {
+    link.heard_at.is_some_and(|at| now < at + HEARD_MS)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn messages_survive_the_link(id in any::<u64>(), text in ".{0,200}", retry in proptest::option::of(any::<u32>())) {
+            for message in [
+                Message::Forward { share: "pool".into(), id, ask: Ask::Submit(text.clone()) },
+                Message::Forwarded { id, answer: Answer { status: 503, body: text.clone(), retry_after_s: retry } },
+                Message::Relayed { id, reply: ReportReply::Elsewhere(Some(text.clone())) },
+            ] {
+                let bytes = rmp_serde::to_vec(&message).expect("written");
+                prop_assert_eq!(rmp_serde::from_slice::<Message>(&bytes).expect("read"), message);
+            }
+        }
+    }
+
+    #[test]
+    fn the_highest_term_in_reach_is_the_owner() {
+        let mut peers = Peers::new(["a".to_string(), "b".to_string()]);
+        peers.beat(0, "a", Some(3), true);
+        peers.beat(0, "b", Some(4), false);
+        assert_eq!(peers.owner(100), Some("b"));
+        assert_eq!(peers.with_store(100), Some("a"));
+        assert_eq!(peers.owner(10_000), None);
+    }
+}
--- /dev/null
+++ b/src/pipeline/ledger.rs
@@ -0,0 +1,414 @@
+//! What must be written next, and the transactions that write it.
+//!
+//! One transaction is in flight at a time. Each carries the owner's claim and
+//! the version of every key it changes, so that a copy applied late, or sent by
+//! a former owner, changes nothing.
+
+use super::{ChunkValue, OpenRecord};
+use crate::Millis;
+use crate::controller::Share;
+use crate::fleet::{HireValue, RosterValue};
+use crate::ids::Ix;
+use crate::store::Keys;
+use crate::wire::{Change, Condition, Standing, Transaction};
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Keeps a transaction well below the service's 64 KiB.
+const MAX_BYTES: usize = 40_000;
+
+#[derive(Debug, Default)]
+pub struct Ledger {
+    pub chunks: BTreeSet<(Ix, u32)>,
+    /// Jobs whose last task is done.
+    pub finished: BTreeSet<Ix>,
+    /// Ended jobs none of whose attempts is open: their keys can go.
+    pub cleanups: BTreeSet<Ix>,
+    pub machines: BTreeSet<Ix>,
+    /// Roster keys to drop, with their versions.
+    pub dropped: VecDeque<(String, u64)>,
+    pub hires: VecDeque<HireValue>,
+    /// Hire keys answered for: request and version.
+    pub settled: VecDeque<(String, u64)>,
+    pub in_flight: Option<InFlight>,
+}
+
+/// The transaction in flight and what it stands for.
+#[derive(Debug, Default)]
+pub struct InFlight {
+    pub transaction: Transaction,
+    /// An earlier copy went unanswered and may have been applied.
+    pub uncertain: bool,
+    pub sent: Millis,
+    chunks: Vec<(Ix, u32)>,
+    finished: Vec<Ix>,
+    cleanups: Vec<(Ix, bool)>,
+    machines: Vec<Ix>,
+    hires: Vec<HireValue>,
+}
+
+/// What a committed transaction allows next.
+#[derive(Debug, Default)]
+pub struct Committed {
+    /// Machines that have something new to be told.
+    pub push: BTreeSet<Ix>,
+    /// Hires that may now be asked for, with their key's version.
+    pub hires: Vec<(HireValue, u64)>,
+    /// Jobs that are done and answered for.
+    pub done: Vec<String>,
+}
+
+struct Draft {
+    transaction: Transaction,
+    bytes: usize,
+    ops: usize,
+}
+
+impl Draft {
+    fn room(&self, ops: usize, bytes: usize) -> bool {
+        self.transaction.changes.len() + ops <= self.ops && self.bytes + bytes <= MAX_BYTES
+    }
+
+    fn require(&mut self, key: String, version: u64) {
+        if !self.transaction.conditions.iter().any(|c| c.key == key) {
+            self.transaction.conditions.push(Condition { key, version });
+        }
+    }
+
+    fn change(&mut self, change: Change, bytes: usize) {
+        self.transaction.changes.push(change);
+        self.bytes += bytes;
+    }
+}
+
+impl Share {
+    /// Builds the next transaction, if there is anything to write and none is
+    /// in flight.
+    pub fn next_transaction(
+        &mut self,
+        now: Millis,
+        keys: &Keys,
+        claim: Condition,
+        max_ops: usize,
+    ) -> Option<Transaction> {
+        if self.ledger.in_flight.is_some() {
+            return None;
+        }
+        let mut draft = Draft {
+            transaction: Transaction {
+                conditions: vec![claim],
+                changes: Vec::new(),
+            },
+            bytes: 200,
+            ops: max_ops,
+        };
+        let mut flight = InFlight {
+            sent: now,
+            ..InFlight::default()
+        };
+        self.draft_finished(keys, &mut draft, &mut flight);
+        self.draft_machines(keys, &mut draft, &mut flight);
+        self.draft_hires(keys, &mut draft, &mut flight);
+        self.draft_chunks(keys, &mut draft, &mut flight);
+        self.draft_cleanups(keys, &mut draft, &mut flight);
+        if draft.transaction.changes.is_empty() {
+            return None;
+        }
+        flight.transaction = draft.transaction.clone();
+        self.ledger.in_flight = Some(flight);
+        Some(draft.transaction)
+    }
+
+    fn draft_finished(&mut self, keys: &Keys, draft: &mut Draft, flight: &mut InFlight) {
+        for ix in self.ledger.finished.clone() {
+            if !draft.room(2, 1_500) {
+                return;
+            }
+            self.ledger.finished.remove(&ix);
+            let Some(job) = self.jobs.get_mut(ix) else {
+                continue;
+            };
+            if job.ended.is_some() {
+                continue;
+            }
+            draft.require(keys.job(&job.id), job.key_version);
+            draft.require(keys.end(&job.id), 0);
+            draft.change(
+                Change::put(
+                    keys.end(&job.id),
+                    json!({"state": Standing::Done, "done": job.spec.tasks}),
+                ),
+                100,
+            );
+            // The job key goes last, when the rest has been cleaned up: until
+            // then it says how the job ended.
+            let value = crate::store::JobKey {
+                spec: job.spec.clone(),
+                accepted_ms: job.accepted_ms,
+                ended: Some(Standing::Done),
+            };
+            draft.change(Change::put(keys.job(&job.id), json!(value)), 700);
+            flight.finished.push(ix);
+        }
+    }
+
+    fn draft_machines(&mut self, keys: &Keys, draft: &mut Draft, flight: &mut InFlight) {
+        for ix in self.ledger.machines.clone() {
+            if !draft.room(1, 200) {
+                return;
+            }
+            self.ledger.machines.remove(&ix);
+            let Some(machine) = self.machines.get_mut(ix) else {
+                continue;
+            };
+            machine.roster_dirty = false;
+            machine.roster_writing = true;
+            let key = keys.machine(&machine.name);
+            draft.require(key.clone(), machine.version);
+            let value = RosterValue {
+                machine_type: self.types.name(machine.type_ix).into(),
+                zone: self.zones.name(machine.zone).into(),
+                spot: machine.spot,
+                address: machine.address.clone(),
+            };
+            draft.change(Change::put(key, json!(value)), 200);
+            flight.machines.push(ix);
+        }
+        while let Some((name, version)) = self.ledger.dropped.front().cloned() {
+            if !draft.room(1, 100) {
+                return;
+            }
+            self.ledger.dropped.pop_front();
+            draft.require(keys.machine(&name), version);
+            draft.change(Change::delete(keys.machine(&name)), 100);
+        }
+    }
+
+    fn draft_hires(&mut self, keys: &Keys, draft: &mut Draft, flight: &mut InFlight) {
+        while draft.room(1, 200) {
+            let Some(hire) = self.ledger.hires.pop_front() else {
+                break;
+            };
+            let key = keys.hire(&hire.request);
+            draft.require(key.clone(), 0);
+            draft.change(Change::put(key, json!(hire)), 200);
+            flight.hires.push(hire);
+        }
+        // A hire's key goes only after the machines it brought are written.
+        while self.ledger.machines.is_empty() && draft.room(1, 100) {
+            let Some((request, version)) = self.ledger.settled.pop_front() else {
+                break;
+            };
+            draft.require(keys.hire(&request), version);
+            draft.change(Change::delete(keys.hire(&request)), 100);
+        }
+    }
+
+    fn draft_chunks(&mut self, keys: &Keys, draft: &mut Draft, flight: &mut InFlight) {
+        for (ix, number) in self.ledger.chunks.clone() {
+            let Some(job) = self.jobs.get_mut(ix) else {
+                self.ledger.chunks.remove(&(ix, number));
+                continue;
+            };
+            if job.ended.is_some() || job.complete() {
+                // Its end says all that needs to be said; the chunk only has
+                // to know that nothing is left unwritten.
+                self.ledger.chunks.remove(&(ix, number));
+                job.chunks[number as usize].dirty = false;
+                continue;
+            }
+            let first = number * self.chunk_tasks;
+            let range = first..(first + self.chunk_tasks).min(job.spec.tasks);
+            let mut open: Vec<OpenRecord> = Vec::new();
+            for (&task, &attempt) in job.open.range(range.clone()) {
+                let Some(attempt) = self.attempts.get_mut(attempt) else {
+                    continue;
+                };
+                let Some(machine) = self.machines.get(attempt.machine) else {
+                    continue;
+                };
+                open.push((task, attempt.number, machine.name.clone(), attempt.session));
+            }
+            let done = job.done.text(range.clone());
+            let bytes = 120 + done.len() + open.len() * 60;
+            // A single chunk always fits an otherwise empty transaction.
+            if !draft.room(1, bytes) && !draft.transaction.changes.is_empty() {
+                return;
+            }
+            self.ledger.chunks.remove(&(ix, number));
+            for attempt in job.open.range(range).map(|(_, &attempt)| attempt) {
+                if let Some(attempt) = self.attempts.get_mut(attempt)
+                    && !attempt.written
+                {
+                    attempt.writing = true;
+                }
+            }
+            let chunk = &mut job.chunks[number as usize];
+            chunk.dirty = false;
+            chunk.writing = true;
+            let key = keys.firing(&job.id, number);
+            draft.require(key.clone(), chunk.version);
+            // A cancel changes the job's key, so nothing starts after it.
+            draft.require(keys.job(&job.id), job.key_version);
+            let value = ChunkValue {
+                next: chunk.next,
+                done,
+                open,
+            };
+            draft.change(Change::put(key, json!(value)), bytes);
+            flight.chunks.push((ix, number));
+        }
+    }
+
+    fn draft_cleanups(&mut self, keys: &Keys, draft: &mut Draft, flight: &mut InFlight) {
+        for ix in self.ledger.cleanups.clone() {
+            let Some(job) = self.jobs.get_mut(ix) else {
+                self.ledger.cleanups.remove(&ix);
+                continue;
+            };
+            if !job.open.is_empty() || job.ended.is_none() {
+                self.ledger.cleanups.remove(&ix);
+                continue;
+            }
+            let left = job.chunks.iter().filter(|chunk| chunk.version > 0).count();
+            let mut dropping = 0;
+            for (number, chunk) in job.chunks.iter().enumerate() {
+                if chunk.version == 0 {
+                    continue;
+                }
+                if !draft.room(1, 100) {
+                    break;
+                }
+                dropping += 1;
+                let key = keys.firing(&job.id, number as u32);
+                draft.require(key.clone(), chunk.version);
+                draft.change(Change::delete(key), 100);
+            }
+            let last = left == dropping && draft.room(1, 100);
+            if last {
+                draft.require(keys.job(&job.id), job.key_version);
+                draft.change(Change::delete(keys.job(&job.id)), 100);
+            }
+            flight.cleanups.push((ix, last));
+            self.ledger.cleanups.remove(&ix);
+            if !last {
+                return;
+            }
+        }
+    }
+
+    /// The transaction in flight was applied at `revision`.
+    pub fn committed(&mut self, keys: &Keys, revision: u64) -> Committed {
+        let mut result = Committed::default();
+        let Some(flight) = self.ledger.in_flight.take() else {
+            return result;
+        };
+        for (ix, number) in flight.chunks {
+            let Some(job) = self.jobs.get_mut(ix) else {
+                continue;
+            };
+            let chunk = &mut job.chunks[number as usize];
+            chunk.version = revision;
+            chunk.writing = false;
+            let first = number * self.chunk_tasks;
+            for attempt in job.open.range(first..first + self.chunk_tasks).map(|(_, &a)| a) {
+                if let Some(attempt) = self.attempts.get_mut(attempt)
+                    && attempt.writing
+                {
+                    attempt.writing = false;
+                    attempt.written = true;
+                    result.push.insert(attempt.machine);
+                }
+            }
+        }
+        for ix in flight.finished {
+            if let Some(job) = self.jobs.get_mut(ix) {
+                job.ended = Some(Standing::Done);
+                job.key_version = revision;
+                result.done.push(job.id.clone());
+                self.ledger.cleanups.insert(ix);
+            }
+        }
+        let deleted = flight.transaction.changes.iter().filter_map(|change| match change {
+            Change::Delete { delete } => Some(delete.as_str()),
+            Change::Put { .. } => None,
+        });
+        let deleted: BTreeSet<&str> = deleted.collect();
+        for (ix, last) in flight.cleanups {
+            let Some(job) = self.jobs.get_mut(ix) else {
+                continue;
+            };
+            for (number, chunk) in job.chunks.iter_mut().enumerate() {
+                if deleted.contains(keys.firing(&job.id, number as u32).as_str()) {
+                    chunk.version = 0;
+                }
+            }
+            if last {
+                let id = job.id.clone();
+                self.jobs.remove(&id);
+            } else {
+                self.ledger.cleanups.insert(ix);
+            }
+        }
+        for ix in flight.machines {
+            if let Some(machine) = self.machines.get_mut(ix) {
+                machine.version = revision;
+                machine.roster_writing = false;
+                if machine.roster_dirty {
+                    self.ledger.machines.insert(ix);
+                }
+            }
+        }
+        result.hires = flight.hires.into_iter().map(|hire| (hire, revision)).collect();
+        result
+    }
+
+    /// The transaction in flight was surely not applied: everything in it has
+    /// to be considered again.
+    pub fn not_applied(&mut self) {
+        let Some(flight) = self.ledger.in_flight.take() else {
+            return;
+        };
+        for (ix, number) in flight.chunks {
+            if let Some(job) = self.jobs.get_mut(ix) {
+                let chunk = &mut job.chunks[number as usize];
+                chunk.writing = false;
+                chunk.dirty = true;
+                for attempt in job.open.values() {
+                    if let Some(attempt) = self.attempts.get_mut(*attempt) {
+                        attempt.writing = false;
+                    }
+                }
+                self.ledger.chunks.insert((ix, number));
+            }
+        }
+        self.ledger.finished.extend(flight.finished);
+        self.ledger.cleanups.extend(flight.cleanups.iter().map(|(ix, _)| *ix));
+        for ix in flight.machines {
+            if let Some(machine) = self.machines.get_mut(ix) {
+                machine.roster_writing = false;
+                machine.roster_dirty = true;
+                self.ledger.machines.insert(ix);
+            }
+        }
+        self.ledger.hires.extend(flight.hires);
+        // Plain deletions of roster and hire keys carry their own versions.
+        let versions: BTreeMap<&str, u64> = flight
+            .transaction
+            .conditions
+            .iter()
+            .map(|c| (c.key.as_str(), c.version))
+            .collect();
+        for change in &flight.transaction.changes {
+            let Change::Delete { delete } = change else {
+                continue;
+            };
+            let version = versions.get(delete.as_str()).copied().unwrap_or(0);
+            if let Some(name) = delete.strip_prefix(&self.machine_prefix) {
+                self.ledger.dropped.push_back((name.into(), version));
+            } else if let Some(request) = delete.strip_prefix(&self.hire_prefix) {
+                self.ledger.settled.push_back((request.into(), version));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/pipeline/mod.rs
@@ -0,0 +1,204 @@
+//! Jobs of the share as their owner sees them: triggers, firings, done sets.
+//!
+//! A job's tasks are kept in chunks; a chunk's key holds its done set, its open
+//! attempts and the next attempt number. A firing is written there with its
+//! placements before any of its tasks is started.
+
+pub mod ledger;
+mod taskset;
+mod trigger;
+
+pub use taskset::TaskSet;
+pub use trigger::BySet;
+
+use crate::Millis;
+use crate::ids::Ix;
+use crate::store::JobKey;
+use crate::wire::{JobSpec, Priority, Standing};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// An attempt written in a chunk: task, attempt number, machine, worker session.
+pub type OpenRecord = (u32, u64, String, u64);
+
+/// The value of a chunk's key.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ChunkValue {
+    /// Next attempt number: numbers rise within a chunk and are never reused.
+    pub next: u64,
+    pub done: String,
+    pub open: Vec<OpenRecord>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Chunk {
+    pub version: u64,
+    pub next: u64,
+    /// Changed since its last write was built.
+    pub dirty: bool,
+    /// In the transaction now in flight.
+    pub writing: bool,
+}
+
+impl Chunk {
+    pub fn written(&self) -> bool {
+        !self.dirty && !self.writing
+    }
+}
+
+/// A job with its shape in indices.
+#[derive(Debug)]
+pub struct Job {
+    pub id: String,
+    pub spec: JobSpec,
+    pub team: Ix,
+    pub image: Ix,
+    pub class: Ix,
+    /// Allowed machine types; `None` for any.
+    pub types: Option<Vec<Ix>>,
+    pub zone: Option<Ix>,
+    pub accepted_ms: u64,
+    pub key_version: u64,
+    pub ended: Option<Standing>,
+    pub trigger: BySet,
+    pub chunks: Vec<Chunk>,
+    pub done: TaskSet,
+    /// Open attempts by task.
+    pub open: BTreeMap<u32, Ix>,
+    /// Tasks from here on were never looked at since this owner began.
+    pub fresh: u32,
+    /// Tasks to run again, not before the given time.
+    pub retry: VecDeque<(Millis, u32)>,
+    /// Since when a released task waits for a better machine.
+    pub waiting_since: Option<Millis>,
+    /// Failures in a row, and the machines they happened on.
+    pub errors: u32,
+    pub failed_on: Vec<Ix>,
+}
+
+impl Job {
+    pub fn chunk_of(&self, task: u32, chunk_tasks: u32) -> usize {
+        (task / chunk_tasks) as usize
+    }
+
+    pub fn priority(&self) -> Priority {
+        self.spec.priority
+    }
+
+    pub fn complete(&self) -> bool {
+        self.done.len() == self.spec.tasks
+    }
+
+    pub fn live(&self) -> bool {
+        self.ended.is_none() && !self.complete() && self.trigger.fires()
+    }
+
+    /// Tasks that could start now or later, without those already open.
+    pub fn waiting(&self) -> u32 {
+        self.spec.tasks - self.done.len() - self.open.len() as u32
+    }
+
+    /// When it should be complete, by time of day; without a deadline, far off.
+    pub fn due_ms(&self) -> u64 {
+        match self.spec.deadline_s {
+            Some(deadline) => self.accepted_ms + crate::millis(deadline),
+            None => u64::MAX,
+        }
+    }
+
+    /// The next task to place, without taking it.
+    pub fn peek(&mut self, now: Millis) -> Option<u32> {
+        if let Some(&(at, task)) = self.retry.front()
+            && at <= now
+        {
+            return Some(task);
+        }
+        while self.fresh < self.spec.tasks {
+            let task = self.fresh;
+            let again = self.retry.iter().any(|&(_, other)| other == task);
+            if !again && !self.done.contains(task) && !self.open.contains_key(&task) {
+                return Some(task);
+            }
+            self.fresh += 1;
+        }
+        None
+    }
+
+    /// Takes the task that [`Job::peek`] gave.
+    pub fn take(&mut self, task: u32) {
+        match self.retry.front() {
+            Some(&(_, front)) if front == task => {
+                self.retry.pop_front();
+            }
+            _ => self.fresh = task + 1,
+        }
+    }
+
+    pub fn run_again(&mut self, task: u32, at: Millis) {
+        let position = self.retry.partition_point(|&(other, _)| other <= at);
+        self.retry.insert(position, (at, task));
+    }
+}
+
+/// How long a job that keeps failing waits before its next try: it is never
+/// dropped, since only its user ends it, but it must not wear machines out.
+pub fn error_pause(errors: u32) -> Millis {
+    match errors {
+        0..=2 => 0,
+        n => (500u64 << (n - 3).min(7)).min(60_000),
+    }
+}
+
+/// Tasks a chunk holds so that its value, all tasks open, stays within limits.
+pub fn chunk_tasks(value_kb: f64) -> u32 {
+    ((value_kb * 1024.0 * 0.8 / 52.0) as u32).clamp(8, 240)
+}
+
+/// The shape of a job in indices, or why it can't be taken.
+pub struct Door<'a> {
+    pub teams: &'a crate::ids::Names,
+    pub types: &'a mut crate::ids::Names,
+    pub zones: &'a mut crate::ids::Names,
+    pub images: &'a mut crate::ids::Names,
+    pub classes: &'a mut crate::ids::Names,
+}
+
+impl Door<'_> {
+    pub fn admit(&mut self, key: &JobKey, version: u64, chunk_tasks: u32) -> Option<Job> {
+        let spec = key.spec.clone();
+        let team = self.teams.get(&spec.team)?;
+        let types = spec
+            .types
+            .as_ref()
+            .map(|types| types.iter().map(|name| self.types.intern(name)).collect());
+        let chunks = spec.tasks.div_ceil(chunk_tasks) as usize;
+        Some(Job {
+            id: spec.id.clone(),
+            team,
+            image: self.images.intern(&spec.image),
+            class: self.classes.intern(&spec.class),
+            types,
+            zone: spec.zone.as_ref().map(|zone| self.zones.intern(zone)),
+            accepted_ms: key.accepted_ms,
+            key_version: version,
+            ended: key.ended,
+            // Jobs have no upstream today: an empty set fires at once.
+            trigger: BySet::new([]),
+            chunks: vec![
+                Chunk {
+                    next: 1,
+                    ..Chunk::default()
+                };
+                chunks
+            ],
+            done: TaskSet::new(spec.tasks),
+            open: BTreeMap::new(),
+            fresh: 0,
+            retry: VecDeque::new(),
+            waiting_since: None,
+            errors: 0,
+            failed_on: Vec::new(),
+            spec,
+        })
+    }
+}
--- /dev/null
+++ b/src/pipeline/taskset.rs
@@ -0,0 +1,94 @@
+use std::ops::Range;
+
+/// A set of task numbers: a bitmap in memory, ranges (`0-4,7`) in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskSet {
+    words: Vec<u64>,
+    len: u32,
+    limit: u32,
+}
+
+impl TaskSet {
+    pub fn new(limit: u32) -> TaskSet {
+        TaskSet {
+            words: vec![0; limit.div_ceil(64) as usize],
+            len: 0,
+            limit,
+        }
+    }
+
+    pub fn len(&self) -> u32 {
+        self.len
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    pub fn contains(&self, task: u32) -> bool {
+        task < self.limit && self.words[(task / 64) as usize] >> (task % 64) & 1 == 1
+    }
+
+    /// True if the task was not in the set before.
+    pub fn insert(&mut self, task: u32) -> bool {
+        if task >= self.limit || self.contains(task) {
+            return false;
+        }
+        self.words[(task / 64) as usize] |= 1 << (task % 64);
+        self.len += 1;
+        true
+    }
+
+    /// The part of the set within `range`, as text relative to its start.
+    pub fn text(&self, range: Range<u32>) -> String {
+        let base = range.start;
+        let mut parts = Vec::new();
+        let mut tasks = range.filter(|&task| self.contains(task)).peekable();
+        while let Some(first) = tasks.next() {
+            let mut last = first;
+            while tasks.peek() == Some(&(last + 1)) {
+                last += 1;
+                tasks.next();
+            }
+            parts.push(if first == last {
+                format!("{}", first - base)
+            } else {
+                format!("{}-{}", first - base, last - base)
+            });
+        }
+        parts.join(",")
+    }
+
+    /// Adds what [`TaskSet::text`] wrote; text of another make adds nothing.
+    pub fn add_text(&mut self, base: u32, text: &str) {
+        for part in text.split(',').filter(|part| !part.is_empty()) {
+            let (first, last) = part.split_once('-').unwrap_or((part, part));
+            if let (Ok(first), Ok(last)) = (first.parse::<u32>(), last.parse::<u32>()) {
+                for task in first..=last.min(self.limit) {
+                    self.insert(base.saturating_add(task));
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn text_brings_back_the_same_set(limit in 1u32..700, tasks in proptest::collection::vec(0u32..700, 0..400), chunk in 8u32..300) {
+            let mut set = TaskSet::new(limit);
+            for task in tasks {
+                set.insert(task);
+            }
+            let mut back = TaskSet::new(limit);
+            for start in (0..limit).step_by(chunk as usize) {
+                back.add_text(start, &set.text(start..(start + chunk).min(limit)));
+            }
+            prop_assert_eq!(set, back);
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,229 @@
+//! Which released task goes where: team limits and order, then one batch by
+//! Algorithm 1 toward the machines that hold the tasks' images.
+
+use crate::Millis;
+use crate::controller::Share;
+use crate::ids::Ix;
+use crate::pipeline::Job;
+use crate::workers::{Attempt, Machine, Room};
+
+/// Attempts planned in one round, so that a round stays short.
+const ROUND: usize = 200;
+
+/// A type of machine as the catalogue gives it.
+#[derive(Clone, Debug)]
+pub struct TypeInfo {
+    pub room: Room,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
+    pub price: f64,
+    pub spot_price: Option<f64>,
+    pub boot_s: f64,
+    pub zones: Vec<Ix>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TeamUse {
+    pub guarantee: Room,
+    /// 0: no limit.
+    pub limit: Room,
+    pub used: Room,
+}
+
+impl TeamUse {
+    pub fn may_add(&self, need: Room) -> bool {
+        let within = |used: f64, need: f64, limit: f64| limit <= 0.0 || used + need <= limit + 1e-6;
+        within(self.used.cpus, need.cpus, self.limit.cpus) && within(self.used.gpus, need.gpus, self.limit.gpus)
+    }
+
+    pub fn within_guarantee(&self, need: Room) -> bool {
+        self.used.cpus + need.cpus <= self.guarantee.cpus + 1e-6
+            && self.used.gpus + need.gpus <= self.guarantee.gpus + 1e-6
+    }
+}
+
+pub fn need(job: &Job) -> Room {
+    Room {
+        cpus: job.spec.cpus,
+        gpus: job.spec.gpus,
+        memory_gb: job.spec.memory_gb,
+    }
+}
+
+#[derive(Debug, PartialEq)]
+enum Choice {
+    Place(Ix),
+    /// The best machine is full for now and worth a short wait.
+    Wait,
+    NoRoom,
+}
+
+impl Share {
+    /// Plans attempts for released tasks. They start once they are written.
+    pub fn place(&mut self, now: Millis) {
+        let mut planned = 0;
+        for ix in self.placement_order() {
+            loop {
+                if planned >= ROUND {
+                    return;
+                }
+                let Some(job) = self.jobs.get_mut(ix) else {
+                    break;
+                };
+                let Some(task) = job.peek(now) else {
+                    break;
+                };
+                let room = need(job);
+                let team = job.team;
+                if !self.teams_use[team as usize].may_add(room) {
+                    break;
+                }
+                match self.choose(now, ix) {
+                    Choice::Place(machine) => {
+                        self.open_attempt(ix, task, machine);
+                        planned += 1;
+                    }
+                    Choice::Wait => {
+                        if let Some(job) = self.jobs.get_mut(ix) {
+                            job.waiting_since.get_or_insert(now);
+                        }
+                        break;
+                    }
+                    Choice::NoRoom => break,
+                }
+            }
+        }
+    }
+
+    /// Live jobs with tasks to place: by priority, then those within their
+    /// team's guarantee, then the earliest.
+    fn placement_order(&self) -> Vec<Ix> {
+        let mut order: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.live() && job.waiting() > 0)
+            .map(|(ix, job)| {
+                let beyond = !self.teams_use[job.team as usize].within_guarantee(need(job));
+                (std::cmp::Reverse(job.priority()), beyond, job.accepted_ms, ix)
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(.., ix)| ix).collect()
+    }
+
+    fn choose(&self, now: Millis, ix: Ix) -> Choice {
+        let Some(job) = self.jobs.get(ix) else {
+            return Choice::NoRoom;
+        };
+        let room = need(job);
+        let zones = self.zones_open_to(job);
+        let mut best: Option<((bool, bool, f64, f64), Ix)> = None;
+        let mut holder_full = false;
+        for (machine_ix, machine) in self.machines.iter() {
+            if !machine.usable(now) || !allows(job, machine, &zones) || job.failed_on.contains(&machine_ix) {
+                continue;
+            }
+            let Some(info) = &self.type_info[machine.type_ix as usize] else {
+                continue;
+            };
+            let free = info.room.less(machine.used);
+            let holds = machine.holds(job.image);
+            if !free.fits(room) {
+                holder_full |= holds;
+                continue;
+            }
+            // Most of the input first; then cheap machines, the smallest type
+            // and the fullest machine, so that others fall idle and go back.
+            let score = (holds, machine.spot, -info.room.cpus, -free.cpus);
+            if best.is_none_or(|(other, _)| score > other) {
+                best = Some((score, machine_ix));
+            }
+        }
+        match best {
+            None => Choice::NoRoom,
+            Some(((true, ..), machine)) => Choice::Place(machine),
+            Some((_, machine)) => {
+                let fetch_s = self
+                    .machines
+                    .get(machine)
+                    .and_then(|machine| self.type_info[machine.type_ix as usize].as_ref())
+                    .map_or(0.0, |info| job.spec.image_gb / info.fetch_gb_per_s.max(0.001));
+                // Waiting longer than the fetch that it saves gains nothing.
+                let patience = crate::millis(self.policy.locality_wait_s.min(fetch_s));
+                let waited = job.waiting_since.map_or(0, |since| now.saturating_sub(since));
+                if holder_full && waited < patience {
+                    Choice::Wait
+                } else {
+                    Choice::Place(machine)
+                }
+            }
+        }
+    }
+
+    /// For a job bound to one zone, or spread over zones: the zones in which
+    /// one more of its tasks may run now. `None`: any.
+    fn zones_open_to(&self, job: &Job) -> Option<Vec<Ix>> {
+        if !job.spec.one_zone && !job.spec.spread {
+            return None;
+        }
+        let mut counts = vec![0u32; self.zones.len()];
+        for attempt in job.open.values().filter_map(|&ix| self.attempts.get(ix)) {
+            if let Some(machine) = self.machines.get(attempt.machine) {
+                counts[machine.zone as usize] += 1;
+            }
+        }
+        let total: u32 = counts.iter().sum();
+        let half = job.spec.tasks.div_ceil(2);
+        let zones = (0..counts.len()).filter(|&zone| {
+            let alone = !job.spec.one_zone || counts[zone] == total;
+            let spread = !job.spec.spread || counts[zone] < half;
+            alone && spread
+        });
+        Some(zones.map(|zone| zone as Ix).collect())
+    }
+
+    fn open_attempt(&mut self, job_ix: Ix, task: u32, machine_ix: Ix) {
+        let (Some(job), Some(machine)) = (self.jobs.get_mut(job_ix), self.machines.get_mut(machine_ix)) else {
+            return;
+        };
+        let number = job.chunk_of(task, self.chunk_tasks);
+        let chunk = &mut job.chunks[number];
+        let attempt = Attempt {
+            job: job_ix,
+            task,
+            number: chunk.next,
+            machine: machine_ix,
+            session: machine.session,
+            written: false,
+            writing: false,
+            seen: None,
+            running_since: None,
+            start_sent: None,
+            stop: None,
+        };
+        chunk.next += 1;
+        chunk.dirty = true;
+        job.take(task);
+        if job.waiting() == 0 {
+            job.waiting_since = None;
+        }
+        let room = need(job);
+        self.teams_use[job.team as usize].used.add(room);
+        machine.used.add(room);
+        let cache_gb = self.type_info[machine.type_ix as usize]
+            .as_ref()
+            .map_or(0.0, |info| info.cache_gb);
+        machine.touch(job.image, job.spec.image_gb, cache_gb);
+        let ix = self.attempts.insert(attempt);
+        machine.open.push(ix);
+        job.open.insert(task, ix);
+        self.ledger.chunks.insert((job_ix, number as u32));
+    }
+}
+
+fn allows(job: &Job, machine: &Machine, zones: &Option<Vec<Ix>>) -> bool {
+    (!machine.spot || job.spec.spot)
+        && job.types.as_ref().is_none_or(|types| types.contains(&machine.type_ix))
+        && job.zone.is_none_or(|zone| zone == machine.zone)
+        && zones.as_ref().is_none_or(|zones| zones.contains(&machine.zone))
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,142 @@
+//! The operators' own settings: a Lua script that returns a table of tuning
+//! values. Everything has a default, and every value is checked.
+
+use mlua::{Lua, LuaOptions, StdLib, Table, Value};
+use std::path::Path;
+use thiserror::Error;
+
+#[derive(Debug, Error, PartialEq)]
+pub enum PolicyError {
+    #[error("cannot read the policy script {path}: {reason}")]
+    Read { path: String, reason: String },
+    #[error("the policy script failed: {0}")]
+    Script(String),
+    #[error("the policy script must return a table")]
+    NotATable,
+    #[error("policy value `{0}` is unknown")]
+    Unknown(String),
+    #[error("policy value `{0}` must be a number")]
+    NotANumber(String),
+    #[error("policy value `{name}` is {value}, outside {low} to {high}")]
+    OutOfRange {
+        name: String,
+        value: f64,
+        low: f64,
+        high: f64,
+    },
+}
+
+macro_rules! policy {
+    ($($(#[doc = $doc:literal])* $name:ident: $default:literal in $low:literal..=$high:literal;)*) => {
+        #[derive(Clone, Debug, PartialEq)]
+        pub struct Policy {
+            $($(#[doc = $doc])* pub $name: f64,)*
+        }
+
+        impl Default for Policy {
+            fn default() -> Self {
+                Policy { $($name: $default,)* }
+            }
+        }
+
+        impl Policy {
+            pub fn entries(&self) -> Vec<(&'static str, f64)> {
+                vec![$((stringify!($name), self.$name),)*]
+            }
+
+            fn set(&mut self, name: &str, value: f64) -> Result<(), PolicyError> {
+                let (slot, low, high) = match name {
+                    $(stringify!($name) => (&mut self.$name, $low, $high),)*
+                    _ => return Err(PolicyError::Unknown(name.into())),
+                };
+                if !(low..=high).contains(&value) {
+                    return Err(PolicyError::OutOfRange { name: name.into(), value, low, high });
+                }
+                *slot = value;
+                Ok(())
+            }
+        }
+    };
+}
+
+policy! {
+    /// Longest wait of a released task for the machine that holds its image.
+    locality_wait_s: 5.0 in 0.0..=60.0;
+    /// How long a machine stays unused before it is returned.
+    idle_return_s: 40.0 in 0.0..=3600.0;
+    /// Machines kept beyond the forecast, as a share of it.
+    headroom: 0.25 in 0.0..=4.0;
+    /// Silence after which a machine is given up, in report intervals.
+    silent_reports: 3.0 in 2.0..=20.0;
+    /// Longest period over which demand is remembered for the forecast.
+    forecast_s: 90.0 in 5.0..=3600.0;
+    /// Most machines kept at once, whatever the forecast says.
+    max_machines: 60.0 in 1.0..=5000.0;
+}
+
+impl Policy {
+    pub fn load(path: Option<&Path>) -> Result<Policy, PolicyError> {
+        let Some(path) = path else {
+            return Ok(Policy::default());
+        };
+        let text = std::fs::read_to_string(path).map_err(|error| PolicyError::Read {
+            path: path.display().to_string(),
+            reason: error.to_string(),
+        })?;
+        Policy::parse(&text)
+    }
+
+    pub fn parse(script: &str) -> Result<Policy, PolicyError> {
+        let failed = |error: mlua::Error| PolicyError::Script(error.to_string());
+        // Only arithmetic, tables and strings: a policy has no business with
+        // files or processes.
+        let libraries = StdLib::MATH | StdLib::TABLE | StdLib::STRING;
+        let lua = Lua::new_with(libraries, LuaOptions::default()).map_err(failed)?;
+        let value: Value = lua.load(script).set_name("policy").eval().map_err(failed)?;
+        let Value::Table(table) = value else {
+            return Err(PolicyError::NotATable);
+        };
+        Policy::from_table(table)
+    }
+
+    fn from_table(table: Table) -> Result<Policy, PolicyError> {
+        let mut policy = Policy::default();
+        for pair in table.pairs::<Value, Value>() {
+            let (name, value) = pair.map_err(|error| PolicyError::Script(error.to_string()))?;
+            let name = name.to_string().unwrap_or_else(|_| "?".into());
+            let number = match value {
+                Value::Integer(number) => number as f64,
+                Value::Number(number) => number,
+                _ => return Err(PolicyError::NotANumber(name)),
+            };
+            policy.set(&name, number)?;
+        }
+        Ok(policy)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_script_sets_values_and_is_checked() {
+        let policy = Policy::parse("local h = 0.5\nreturn { headroom = h * 2, idle_return_s = 10 }");
+        let policy = policy.expect("valid");
+        assert_eq!((policy.headroom, policy.idle_return_s), (1.0, 10.0));
+        assert_eq!(
+            Policy::parse("return { hedroom = 1 }"),
+            Err(PolicyError::Unknown("hedroom".into()))
+        );
+        assert_eq!(
+            Policy::parse("return { headroom = 'lots' }"),
+            Err(PolicyError::NotANumber("headroom".into()))
+        );
+        assert!(matches!(
+            Policy::parse("return { headroom = -1 }"),
+            Err(PolicyError::OutOfRange { .. })
+        ));
+        assert_eq!(Policy::parse("return 3"), Err(PolicyError::NotATable));
+        assert!(matches!(Policy::parse("return os.time()"), Err(PolicyError::Script(_))));
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,248 @@
+//! The settings file that the platform hands over. Unknown fields are ignored;
+//! missing or nonsensical ones are refused by name.
+
+use serde::Deserialize;
+use std::{collections::HashSet, net::SocketAddr, path::Path};
+use thiserror::Error;
+
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    #[error("cannot read {path}: {source}")]
+    Read { path: String, source: std::io::Error },
+    #[error("not a valid settings file: {0}")]
+    Parse(#[from] toml::de::Error),
+    #[error("setting `{field}`: {reason}")]
+    Invalid { field: String, reason: String },
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    pub node: String,
+    #[serde(rename = "location")]
+    pub zone: String,
+    #[serde(rename = "serve_on")]
+    pub listen: SocketAddr,
+    pub peer_listen: SocketAddr,
+    #[serde(rename = "seeds", default)]
+    pub peers: Vec<Peer>,
+    #[serde(rename = "external")]
+    pub services: Services,
+    pub params: Params,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Peer {
+    pub node: String,
+    #[serde(rename = "location")]
+    pub zone: String,
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Params {
+    pub zones: Vec<String>,
+    #[serde(rename = "time_bound_ms")]
+    pub clock_off_ms: f64,
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: State,
+    pub cloud: Cloud,
+    #[serde(rename = "quota")]
+    pub limits: Limits,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Team {
+    pub name: String,
+    pub cpus: f64,
+    pub cpus_max: f64,
+    pub gpus: f64,
+    pub gpus_max: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct State {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: u32,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Cloud {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Limits {
+    #[serde(rename = "cores")]
+    pub cpu_share: f64,
+    pub memory_mb: f64,
+    pub max_connections: u32,
+}
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+            path: path.display().to_string(),
+            source,
+        })?;
+        Settings::parse(&text)
+    }
+
+    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+        let settings: Settings = toml::from_str(text)?;
+        settings.validate()?;
+        Ok(settings)
+    }
+
+    fn validate(&self) -> Result<(), SettingsError> {
+        let invalid = |field: &str, reason: &str| {
+            Err(SettingsError::Invalid {
+                field: field.into(),
+                reason: reason.into(),
+            })
+        };
+        if self.node.is_empty() {
+            return invalid("node", "must not be empty");
+        }
+        let params = &self.params;
+        let positive = [
+            ("params.workers.report_s", params.workers.report_s),
+            ("params.workers.lease_s", params.workers.lease_s),
+            ("params.workers.cancel_s", params.workers.cancel_s),
+            ("params.state.rps", params.state.rps),
+            ("params.state.write_rps", params.state.write_rps),
+            ("params.state.value_kb", params.state.value_kb),
+            ("params.cloud.rps", params.cloud.rps),
+            ("params.quota.cores", params.limits.cpu_share),
+            ("params.quota.memory_mb", params.limits.memory_mb),
+        ];
+        for (field, value) in positive {
+            if !(value.is_finite() && value > 0.0) {
+                return invalid(field, "must be a positive number");
+            }
+        }
+        let not_negative = [
+            ("params.cloud.list_lag_s", params.cloud.list_lag_s),
+            ("params.time_bound_ms", params.clock_off_ms),
+        ];
+        for (field, value) in not_negative {
+            if !(value.is_finite() && value >= 0.0) {
+                return invalid(field, "must not be negative");
+            }
+        }
+        if params.state.txn_ops < 8 {
+            return invalid("params.state.txn_ops", "must be at least 8");
+        }
+        if params.limits.max_connections < 64 {
+            return invalid("params.quota.max_connections", "must be at least 64");
+        }
+        if params.zones.is_empty() {
+            return invalid("params.zones", "must name at least one zone");
+        }
+        if params.teams.is_empty() {
+            return invalid("params.teams", "must name at least one team");
+        }
+        let mut seen = HashSet::new();
+        for team in &params.teams {
+            let field = format!("params.teams.{}", team.name);
+            if !seen.insert(team.name.as_str()) {
+                return invalid(&field, "is given twice");
+            }
+            for value in [team.cpus, team.cpus_max, team.gpus, team.gpus_max] {
+                if !(value.is_finite() && value >= 0.0) {
+                    return invalid(&field, "amounts must not be negative");
+                }
+            }
+        }
+        let mut nodes = HashSet::from([self.node.as_str()]);
+        for peer in &self.peers {
+            if !nodes.insert(peer.node.as_str()) {
+                return invalid("seeds", &format!("`{}` is named twice", peer.node));
+            }
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub const SAMPLE: &str = r#"
+node = "stall-0"
+location = "north"
+serve_on = "127.0.0.1:18080"
+peer_listen = "127.0.0.1:18081"
+unheard_of = 1
+[[seeds]]
+node = "stall-1"
+location = "south"
+address = "127.0.0.1:18082"
+[external]
+cloud = "127.0.0.1:18443"
+state = "127.0.0.1:12379"
+[params]
+zones = ["north", "south"]
+time_bound_ms = 25.0
+[[params.teams]]
+name = "floor"
+cpus = 32.0
+cpus_max = 96.0
+gpus = 0.0
+gpus_max = 0.0
+[params.workers]
+report_s = 3.0
+lease_s = 45.0
+cancel_s = 65.0
+[params.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 16.0
+txn_ops = 48
+[params.cloud]
+rps = 4.0
+list_lag_s = 6.0
+[params.quota]
+cores = 0.064
+memory_mb = 136.0
+max_connections = 3000
+"#;
+
+    #[test]
+    fn unknown_fields_are_ignored_and_bad_ones_are_named() {
+        assert!(Settings::parse(SAMPLE).is_ok());
+        let bad = SAMPLE.replace("lease_s = 45.0", "lease_s = -1.0");
+        let error = Settings::parse(&bad).expect_err("negative").to_string();
+        assert!(error.contains("params.workers.lease_s"), "{error}");
+        let missing = SAMPLE.replace("rps = 4.0\n", "");
+        let error = Settings::parse(&missing).expect_err("missing").to_string();
+        assert!(error.contains("rps"), "{error}");
+    }
+}
--- /dev/null
+++ b/src/store/budget.rs
@@ -0,0 +1,65 @@
+use crate::Millis;
+
+/// A token bucket that holds at most half a second's worth, so that the sum of
+/// all controllers' bursts stays within the service's own allowance.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    rate: f64,
+    level: f64,
+    filled_at: Millis,
+}
+
+impl Bucket {
+    pub fn new(rate: f64) -> Bucket {
+        Bucket {
+            rate,
+            level: rate / 2.0,
+            filled_at: 0,
+        }
+    }
+
+    pub fn set_rate(&mut self, rate: f64) {
+        self.rate = rate;
+    }
+
+    fn fill(&mut self, now: Millis) {
+        let elapsed = now.saturating_sub(self.filled_at) as f64 / 1000.0;
+        self.filled_at = now;
+        self.level = (self.level + elapsed * self.rate).min((self.rate / 2.0).max(1.0));
+    }
+
+    /// True while anything is left; a large request may overdraw, and the debt
+    /// is paid off before the next one.
+    pub fn ready(&mut self, now: Millis) -> bool {
+        self.fill(now);
+        self.level > 0.0
+    }
+
+    pub fn spend(&mut self, amount: f64) {
+        self.level -= amount;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn spending_never_exceeds_the_rate_and_one_burst(
+            rate in 1.0f64..500.0, gaps in proptest::collection::vec(0u64..50, 1..300)
+        ) {
+            let mut bucket = Bucket::new(rate);
+            let (mut now, mut spent) = (0, 0.0);
+            for gap in gaps {
+                now += gap;
+                while bucket.ready(now) {
+                    bucket.spend(1.0);
+                    spent += 1.0;
+                }
+                prop_assert!(spent <= rate / 2.0 + rate * now as f64 / 1000.0 + 2.0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/store/mirror.rs
@@ -0,0 +1,139 @@
+use super::Keys;
+use crate::wire::{Event, JobSpec, Page, Standing};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The claim of a share's owner.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OwnerValue {
+    pub node: String,
+    /// Tells one life of a process from the next.
+    pub life: u64,
+    pub term: u64,
+}
+
+/// The value of a job key: the job, when it was accepted (time of day), and,
+/// from its end until everything else of it is cleaned up, how it ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobKey {
+    pub spec: JobSpec,
+    pub accepted_ms: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended: Option<Standing>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum MirrorChange {
+    Owner,
+    Catalogue,
+    Job(String),
+    JobGone(String),
+}
+
+/// A copy of the watched keys as of `revision`.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    pub revision: u64,
+    /// False until the first full read, and again when a watch fell too far behind.
+    pub complete: bool,
+    pub owner: Option<(OwnerValue, u64)>,
+    pub term: (u64, u64),
+    pub catalogue: Option<(serde_json::Value, u64)>,
+    pub jobs: BTreeMap<String, (JobKey, u64)>,
+    /// Keys read so far, and the revision of the first page, during a full read.
+    reading: Option<(u64, Vec<Event>)>,
+}
+
+impl Mirror {
+    /// Takes one page of a full read; gives the changes once it is the last.
+    pub fn take_page(&mut self, keys: &Keys, page: Page) -> Option<Vec<MirrorChange>> {
+        let (_, events) = self.reading.get_or_insert((page.revision, Vec::new()));
+        events.extend(page.items.into_iter().map(|entry| Event {
+            put: Some(entry.key),
+            delete: None,
+            value: entry.value,
+            version: entry.version,
+        }));
+        if page.more {
+            return None;
+        }
+        let (revision, events) = self.reading.take()?;
+        let mut changes: Vec<MirrorChange> = Vec::new();
+        if self.owner.take().is_some() {
+            changes.push(MirrorChange::Owner);
+        }
+        let before = std::mem::take(&mut self.jobs);
+        for event in events {
+            changes.extend(self.apply(keys, event));
+        }
+        for id in before.into_keys() {
+            if !self.jobs.contains_key(&id) {
+                changes.push(MirrorChange::JobGone(id));
+            }
+        }
+        // Later pages may be newer than the first; the log from the first
+        // page's revision on puts that right.
+        self.revision = revision;
+        self.complete = true;
+        Some(changes)
+    }
+
+    pub fn restart(&mut self) {
+        self.complete = false;
+        self.reading = None;
+    }
+
+    /// Applies a log that begins at or before our revision.
+    pub fn take_log(&mut self, keys: &Keys, revision: u64, events: Vec<Event>) -> Vec<MirrorChange> {
+        let known = self.revision;
+        let mut changes = Vec::new();
+        for event in events {
+            // Two requests may overlap; what was applied must not be undone.
+            if event.version > known {
+                changes.extend(self.apply(keys, event));
+            }
+        }
+        self.revision = self.revision.max(revision);
+        changes
+    }
+
+    fn apply(&mut self, keys: &Keys, event: Event) -> Option<MirrorChange> {
+        let (key, gone) = match (event.put, event.delete) {
+            (Some(key), _) => (key, false),
+            (None, Some(key)) => (key, true),
+            (None, None) => return None,
+        };
+        let version = event.version;
+        if let Some(id) = key.strip_prefix(&keys.jobs()) {
+            if gone {
+                self.jobs.remove(id);
+                return Some(MirrorChange::JobGone(id.into()));
+            }
+            match serde_json::from_value(event.value) {
+                Ok(job) => self.jobs.insert(id.into(), (job, version)),
+                Err(error) => {
+                    tracing::error!(job = id, %error, "a job key can't be read");
+                    return None;
+                }
+            };
+            return Some(MirrorChange::Job(id.into()));
+        }
+        if key == keys.owner() {
+            self.owner = if gone {
+                None
+            } else {
+                serde_json::from_value(event.value).ok().map(|owner| (owner, version))
+            };
+            return Some(MirrorChange::Owner);
+        }
+        if key == keys.term() && !gone {
+            let term = event.value.get("term").and_then(|term| term.as_u64());
+            self.term = (term.unwrap_or(0), version);
+        }
+        if key == keys.catalogue() && !gone {
+            self.catalogue = Some((event.value, version));
+            return Some(MirrorChange::Catalogue);
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,121 @@
+//! The state service: key names, the rate budget, and a mirror of the watched
+//! keys (claim, term, catalogue, unfinished jobs) that every controller holds.
+
+mod budget;
+mod mirror;
+
+pub use budget::Bucket;
+pub use mirror::{JobKey, Mirror, MirrorChange, OwnerValue};
+
+use crate::wire::{Entry, Log, Page, Transaction};
+use serde_json::Value;
+
+/// A request to the state service.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreRequest {
+    Get(String),
+    List { prefix: String, after: String },
+    Transact(Transaction),
+    Grant { ttl_ms: u64 },
+    Renew(u64),
+    Watch { prefix: String, since: u64, wait_ms: u64 },
+}
+
+impl StoreRequest {
+    /// Puts and deletes that the service counts against the write rate.
+    pub fn writes(&self) -> u32 {
+        match self {
+            StoreRequest::Transact(transaction) => transaction.changes.len() as u32,
+            _ => 0,
+        }
+    }
+}
+
+/// What came of it. `Lost` means that it may or may not have been executed, or
+/// may yet be; `Unavailable` and `Throttled` that it was not.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreReply {
+    Found { value: Value, version: u64 },
+    Missing,
+    Page(Page),
+    Committed { revision: u64 },
+    Conflict { failed: Vec<String> },
+    Granted { lease: u64 },
+    Renewed,
+    LeaseGone,
+    Log(Log),
+    TooOld,
+    Throttled,
+    Unavailable,
+    Lost,
+}
+
+/// Key names. The watched prefix stays small: whatever every controller must
+/// hear of. The rest is read only by an owner taking over, or one key at a time.
+#[derive(Clone, Debug)]
+pub struct Keys {
+    share: String,
+}
+
+impl Keys {
+    pub fn new(share: &str) -> Keys {
+        Keys { share: share.into() }
+    }
+
+    pub fn watched(&self) -> String {
+        format!("live/{}/", self.share)
+    }
+
+    pub fn owner(&self) -> String {
+        format!("live/{}/owner", self.share)
+    }
+
+    pub fn term(&self) -> String {
+        format!("live/{}/term", self.share)
+    }
+
+    pub fn catalogue(&self) -> String {
+        format!("live/{}/catalogue", self.share)
+    }
+
+    pub fn jobs(&self) -> String {
+        format!("live/{}/job/", self.share)
+    }
+
+    pub fn job(&self, id: &str) -> String {
+        format!("live/{}/job/{id}", self.share)
+    }
+
+    pub fn end(&self, id: &str) -> String {
+        format!("kept/{}/end/{id}", self.share)
+    }
+
+    pub fn firings(&self) -> String {
+        format!("kept/{}/firing/", self.share)
+    }
+
+    pub fn firing(&self, id: &str, chunk: u32) -> String {
+        format!("kept/{}/firing/{id}/{chunk}", self.share)
+    }
+
+    pub fn machines(&self) -> String {
+        format!("kept/{}/machine/", self.share)
+    }
+
+    pub fn machine(&self, id: &str) -> String {
+        format!("kept/{}/machine/{id}", self.share)
+    }
+
+    pub fn hires(&self) -> String {
+        format!("kept/{}/hire/", self.share)
+    }
+
+    pub fn hire(&self, request: &str) -> String {
+        format!("kept/{}/hire/{request}", self.share)
+    }
+}
+
+/// The tail of a key below a prefix.
+pub fn tail<'a>(entry: &'a Entry, prefix: &str) -> &'a str {
+    entry.key.strip_prefix(prefix).unwrap_or(&entry.key)
+}
--- /dev/null
+++ b/src/workers/mod.rs
@@ -0,0 +1,303 @@
+//! Machines and the attempts on them: merging reports, proving attempts over,
+//! deriving commands.
+//!
+//! An attempt stays open, and counts against its team and its machine, until it
+//! is proven over: listed as ended by the newest report, its session gone, its
+//! machine deleted, or its worker's lease surely lapsed. Commands are always
+//! derived from what is open, so repeating them needs no memory of its own.
+
+mod drain;
+mod merge;
+
+pub use merge::Merged;
+
+use crate::Millis;
+use crate::ids::Ix;
+use crate::wire::{Command, TaskReport, TaskState};
+
+/// How an attempt was proven over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Done,
+    Error,
+    /// Refused by the worker.
+    Refused,
+    /// Stopped by command.
+    Stopped,
+    /// Gone with its machine or its session, or never started.
+    Lost,
+}
+
+#[derive(Debug)]
+pub struct Attempt {
+    pub job: Ix,
+    pub task: u32,
+    pub number: u64,
+    pub machine: Ix,
+    pub session: u64,
+    /// Its firing is known to be in the state service; only then may it start.
+    pub written: bool,
+    /// In the transaction now in flight.
+    pub writing: bool,
+    /// State in the newest report; `None` while no report has shown it.
+    pub seen: Option<TaskState>,
+    pub running_since: Option<Millis>,
+    /// When a start command last left, by a report's answer or directly.
+    pub start_sent: Option<Millis>,
+    /// Asked to stop, with this much time to save.
+    pub stop: Option<f64>,
+}
+
+/// Commands sent straight to a worker.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Push {
+    /// Something new is to be sent.
+    pub wanted: bool,
+    pub in_flight: bool,
+    pub starts: bool,
+    pub not_before: Millis,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub name: String,
+    pub address: Option<String>,
+    pub type_ix: Ix,
+    pub zone: Ix,
+    pub spot: bool,
+    /// Version of its roster key; 0 while unwritten.
+    pub version: u64,
+    pub roster_dirty: bool,
+    pub roster_writing: bool,
+    pub hired_at: Millis,
+    pub session: u64,
+    pub seq: u64,
+    /// Highest token that its worker has been seen to hold.
+    pub token: u64,
+    /// Last report merged by this owner.
+    pub heard_at: Option<Millis>,
+    /// Last time at which an answer may have renewed its worker's lease.
+    pub answered_at: Millis,
+    /// Highest term under which a direct start went unanswered: it may still
+    /// arrive until the worker has been seen to hold a higher token.
+    pub doubt: u64,
+    /// When the cloud takes it away, if it said so.
+    pub taken_at: Option<Millis>,
+    /// Given up: no new tasks; to be deleted.
+    pub condemned: bool,
+    pub deleting: bool,
+    pub push: Push,
+    /// Images it holds or fetches, the latest last, with their sizes.
+    pub images: Vec<(Ix, f64)>,
+    pub open: Vec<Ix>,
+    /// Tasks in its newest report that no open attempt stands for.
+    pub strays: Vec<TaskReport>,
+    pub used: Room,
+    pub idle_since: Millis,
+    /// Jobs whose tasks failed here since the last success.
+    pub failing: Vec<Ix>,
+    pub rest_until: Millis,
+}
+
+/// What a task takes of its machine, or a machine offers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Room {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+const SLACK: f64 = 1e-6;
+
+impl Room {
+    pub fn add(&mut self, other: Room) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+
+    pub fn take(&mut self, other: Room) {
+        self.cpus = (self.cpus - other.cpus).max(0.0);
+        self.gpus = (self.gpus - other.gpus).max(0.0);
+        self.memory_gb = (self.memory_gb - other.memory_gb).max(0.0);
+    }
+
+    pub fn less(mut self, other: Room) -> Room {
+        self.take(other);
+        self
+    }
+
+    pub fn fits(&self, other: Room) -> bool {
+        other.cpus <= self.cpus + SLACK && other.gpus <= self.gpus + SLACK && other.memory_gb <= self.memory_gb + SLACK
+    }
+
+    /// How many of `other` fit.
+    pub fn count(&self, other: Room) -> u32 {
+        let part = |have: f64, need: f64| {
+            if need <= 0.0 {
+                f64::from(u32::MAX)
+            } else {
+                ((have + SLACK) / need).floor()
+            }
+        };
+        let count = part(self.cpus, other.cpus)
+            .min(part(self.gpus, other.gpus))
+            .min(part(self.memory_gb, other.memory_gb));
+        count.clamp(0.0, 100_000.0) as u32
+    }
+}
+
+impl Machine {
+    pub fn new(name: &str, type_ix: Ix, zone: Ix, spot: bool, now: Millis) -> Machine {
+        Machine {
+            name: name.into(),
+            address: None,
+            type_ix,
+            zone,
+            spot,
+            version: 0,
+            roster_dirty: true,
+            roster_writing: false,
+            hired_at: now,
+            session: 0,
+            seq: 0,
+            token: 0,
+            heard_at: None,
+            answered_at: now,
+            doubt: 0,
+            taken_at: None,
+            condemned: false,
+            deleting: false,
+            push: Push::default(),
+            images: Vec::new(),
+            open: Vec::new(),
+            strays: Vec::new(),
+            used: Room::default(),
+            idle_since: now,
+            failing: Vec::new(),
+            rest_until: 0,
+        }
+    }
+
+    /// May be given new tasks: its roster key is written (a successor must know
+    /// of it), it was heard by this owner, and nothing speaks against it.
+    pub fn usable(&self, now: Millis) -> bool {
+        self.version > 0
+            && self.heard_at.is_some()
+            && self.taken_at.is_none()
+            && !self.condemned
+            && now >= self.rest_until
+    }
+
+    pub fn holds(&self, image: Ix) -> bool {
+        self.images.iter().any(|&(held, _)| held == image)
+    }
+
+    /// Notes that an image is there, dropping the least recently used ones.
+    pub fn touch(&mut self, image: Ix, gb: f64, cache_gb: f64) {
+        self.images.retain(|&(held, _)| held != image);
+        self.images.push((image, gb));
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            total -= self.images.remove(0).1;
+        }
+    }
+}
+
+/// Attempts by a reusable index.
+#[derive(Debug, Default)]
+pub struct Attempts {
+    slots: Vec<Option<Attempt>>,
+    free: Vec<Ix>,
+}
+
+impl Attempts {
+    pub fn insert(&mut self, attempt: Attempt) -> Ix {
+        let ix = self.free.pop().unwrap_or_else(|| {
+            self.slots.push(None);
+            (self.slots.len() - 1) as Ix
+        });
+        self.slots[ix as usize] = Some(attempt);
+        ix
+    }
+
+    pub fn remove(&mut self, ix: Ix) -> Option<Attempt> {
+        let attempt = self.slots.get_mut(ix as usize)?.take();
+        if attempt.is_some() {
+            self.free.push(ix);
+        }
+        attempt
+    }
+
+    pub fn get(&self, ix: Ix) -> Option<&Attempt> {
+        self.slots.get(ix as usize)?.as_ref()
+    }
+
+    pub fn get_mut(&mut self, ix: Ix) -> Option<&mut Attempt> {
+        self.slots.get_mut(ix as usize)?.as_mut()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (Ix, &Attempt)> {
+        let slots = self.slots.iter().enumerate();
+        slots.filter_map(|(ix, slot)| slot.as_ref().map(|attempt| (ix as Ix, attempt)))
+    }
+}
+
+/// `job/task` as the protocol writes it.
+pub fn task_name(job: &str, task: u32) -> String {
+    format!("{job}/{task}")
+}
+
+pub fn split_task(name: &str) -> Option<(&str, u32)> {
+    let (job, task) = name.rsplit_once('/')?;
+    Some((job, task.parse().ok()?))
+}
+
+/// The command that an open attempt calls for, if any.
+pub fn command_for(job: &str, attempt: &Attempt) -> Option<Command> {
+    let task = task_name(job, attempt.task);
+    match (attempt.seen, attempt.stop) {
+        (None, None) => Some(Command::Start {
+            task,
+            attempt: attempt.number,
+        }),
+        // Not yet seen and not wanted any more: nothing is sent until it shows
+        // up or is proven never to start.
+        (None, Some(_)) => None,
+        (Some(TaskState::Saving), Some(grace_s)) if grace_s > 0.0 => None,
+        (Some(_), Some(grace_s)) => Some(Command::Stop {
+            task,
+            attempt: attempt.number,
+            grace_s,
+        }),
+        (Some(_), None) => None,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn a_cache_stays_within_its_size_and_keeps_the_latest(
+            touches in proptest::collection::vec((0u32..8, 1.0f64..30.0), 1..50)
+        ) {
+            let mut machine = Machine::new("m", 0, 0, false, 0);
+            for (image, gb) in touches {
+                machine.touch(image, gb, 40.0);
+                prop_assert!(machine.holds(image));
+                let total: f64 = machine.images.iter().map(|(_, gb)| gb).sum();
+                prop_assert!(total <= 40.0 || machine.images.len() == 1);
+            }
+        }
+    }
+
+    #[test]
+    fn task_names_split_as_they_were_joined() {
+        assert_eq!(split_task(&task_name("j-000412", 17)), Some(("j-000412", 17)));
+        assert_eq!(split_task("j-000412"), None);
+        assert_eq!(split_task("j-000412/x"), None);
+    }
+}
