--- a/src/runtime/front.rs
+++ b/src/runtime/front.rs
@@ -124,8 +124,11 @@
                 return Err(error);
             }
         };
-        stream.set_nodelay(true)?;
-        let local = stream.local_addr()?;
+        // A missing option costs some latency, a dropped connection its request.
+        if let Err(error) = stream.set_nodelay(true) {
+            tracing::debug!(%error, "TCP_NODELAY can't be set");
+        }
+        let local = self.listener.local_addr()?;
         let guarded = Guarded {
             stream,
             _permit: permit,
