--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -541,6 +541,9 @@
                 MirrorChange::Job(id) => self.job_changed(&id),
                 MirrorChange::JobGone(id) => {
                     self.peers.counts.remove(&id);
+                    if let Some(share) = &mut self.share {
+                        share.gone.push(id);
+                    }
                 }
             }
         }
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -376,6 +376,7 @@
                     self.reclaimed_at = 0;
                 } else {
                     // A cancel was faster. The mirror will say so.
+                    tracing::debug!(?failed, "a job ended while its tasks were placed");
                     self.sync(0);
                 }
             }
@@ -548,6 +549,19 @@
             })
             .take(2_000)
             .collect();
+        tracing::debug!(
+            jobs = share.jobs.len(),
+            waiting = share.jobs.iter().filter(|(_, job)| job.live()).map(|(_, job)| job.waiting()).sum::<u32>(),
+            open = share.attempts.iter().count(),
+            unwritten = share.attempts.iter().filter(|(_, attempt)| !attempt.written).count(),
+            unseen = share.attempts.iter().filter(|(_, attempt)| attempt.seen.is_none()).count(),
+            machines = share.machines.len(),
+            usable = share.machines.iter().filter(|(_, machine)| machine.usable(self.now)).count(),
+            writing_ms = share.ledger.in_flight.as_ref().map_or(0, |flight| self.now - flight.sent),
+            queued = self.queue.len(),
+            asked = self.intake.len(),
+            "share"
+        );
         for node in self.peers.names() {
             self.outputs.push(Output::Peer {
                 node,
--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -44,6 +44,8 @@
     pub tombstones: BTreeMap<String, Millis>,
     pub ledger: Ledger,
     pub fleet: Fleet,
+    /// Jobs whose keys were seen to be gone.
+    pub gone: Vec<String>,
     /// Starts that may still arrive have to be withdrawn by a higher term.
     pub withdraw: bool,
 }
@@ -95,6 +97,7 @@
             tombstones: BTreeMap::new(),
             ledger: Ledger::default(),
             fleet: Fleet::default(),
+            gone: Vec::new(),
             withdraw: false,
         }
     }
@@ -277,6 +280,24 @@
         }
     }
 
+    /// Forgets jobs whose keys are gone. An old event, read before a job's last
+    /// clean-up and taken in after it, may have brought the job back; nothing
+    /// could ever be written of it again. Not while a transaction is in flight:
+    /// it names jobs by index.
+    pub fn forget_gone(&mut self) {
+        for id in std::mem::take(&mut self.gone) {
+            let Some(job) = self.jobs.find(&id).and_then(|ix| self.jobs.get(ix)) else {
+                continue;
+            };
+            if job.open.is_empty() {
+                self.jobs.remove(&id);
+            } else {
+                tracing::error!(job = id, "a job's key is gone while its tasks are open");
+                self.withdraw = true;
+            }
+        }
+    }
+
     /// A cancelled job: nothing more starts, and what is open has to end.
     fn stop_all(&mut self, now: Millis, ix: Ix) {
         let Some(job) = self.jobs.get(ix) else {
--- a/src/pipeline/ledger.rs
+++ b/src/pipeline/ledger.rs
@@ -94,6 +94,7 @@
         if self.ledger.in_flight.is_some() {
             return None;
         }
+        self.forget_gone();
         let mut draft = Draft {
             transaction: Transaction {
                 conditions: vec![claim],
