--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -551,13 +551,30 @@
             .collect();
         tracing::debug!(
             jobs = share.jobs.len(),
-            waiting = share.jobs.iter().filter(|(_, job)| job.live()).map(|(_, job)| job.waiting()).sum::<u32>(),
+            waiting = share
+                .jobs
+                .iter()
+                .filter(|(_, job)| job.live())
+                .map(|(_, job)| job.waiting())
+                .sum::<u32>(),
             open = share.attempts.iter().count(),
             unwritten = share.attempts.iter().filter(|(_, attempt)| !attempt.written).count(),
-            unseen = share.attempts.iter().filter(|(_, attempt)| attempt.seen.is_none()).count(),
+            unseen = share
+                .attempts
+                .iter()
+                .filter(|(_, attempt)| attempt.seen.is_none())
+                .count(),
             machines = share.machines.len(),
-            usable = share.machines.iter().filter(|(_, machine)| machine.usable(self.now)).count(),
-            writing_ms = share.ledger.in_flight.as_ref().map_or(0, |flight| self.now - flight.sent),
+            usable = share
+                .machines
+                .iter()
+                .filter(|(_, machine)| machine.usable(self.now))
+                .count(),
+            writing_ms = share
+                .ledger
+                .in_flight
+                .as_ref()
+                .map_or(0, |flight| self.now - flight.sent),
             queued = self.queue.len(),
             asked = self.intake.len(),
             "share"
--- a/src/intake/check.rs
+++ b/src/intake/check.rs
@@ -155,7 +155,9 @@
     proptest! {
         #[test]
         fn no_body_makes_the_reader_fail(body in ".{0,300}") {
-            let _ = parse(&body).map(|spec| prop_assert!(valid_id(&spec.id)));
+            if let Ok(spec) = parse(&body) {
+                prop_assert!(valid_id(&spec.id));
+            }
         }
     }
 }
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -224,15 +224,14 @@
 }
 
 #[cfg(test)]
+#[allow(clippy::field_reassign_with_default)]
 mod tests {
     use super::*;
 
     fn claimed(sent: Millis) -> (Ownership, Keys, Mirror) {
         let keys = Keys::new("pool");
-        let mirror = Mirror {
-            complete: true,
-            ..Mirror::default()
-        };
+        let mut mirror = Mirror::default();
+        mirror.complete = true;
         let mut ownership = Ownership::new("a", 1);
         assert_eq!(ownership.poll(sent, &mirror, true), Some(Wish::Grant));
         ownership.granted(9, sent, &keys, &mirror);
@@ -243,7 +242,7 @@
 
     #[test]
     fn validity_counts_from_when_the_renewal_was_sent() {
-        let (mut ownership, keys, mirror) = claimed(1_000);
+        let (mut ownership, _, mirror) = claimed(1_000);
         assert!(ownership.acting(1_000 + LEASE_MS - MARGIN_MS - 1));
         assert!(!ownership.acting(1_000 + LEASE_MS - MARGIN_MS));
         ownership.renewed(2_000);
@@ -260,11 +259,8 @@
 
     #[test]
     fn a_controller_that_hears_nobody_lets_others_claim_first() {
-        let keys = Keys::new("pool");
-        let mirror = Mirror {
-            complete: true,
-            ..Mirror::default()
-        };
+        let mut mirror = Mirror::default();
+        mirror.complete = true;
         let mut ownership = Ownership::new("a", 1);
         assert_eq!(ownership.poll(0, &mirror, false), None);
         assert_eq!(ownership.poll(ALONE_DELAY_MS, &mirror, false), Some(Wish::Grant));
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,128 @@
+//! The rules of the protocol under seeded troubles, controllers against
+//! stand-ins. The same seeds every time.
+
+mod world;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use world::{Told, Trouble, World};
+
+/// Whoever owns the share when the trouble begins.
+const OWNER: usize = 9;
+
+fn check(seed: u64, troubles: Vec<(u64, Trouble)>) {
+    let mut world = World::new(seed, 24, troubles.clone());
+    world.run(world.calm_at.max(100_000) + 200_000);
+    assert!(
+        world.broken.is_empty(),
+        "seed {seed}: {:?}\n{troubles:#?}",
+        world.broken
+    );
+    let open: Vec<_> = world
+        .jobs
+        .iter()
+        .filter(|job| !matches!(job.told, Told::Done | Told::Cancelled))
+        .collect();
+    let open: Vec<_> = open.iter().map(|job| (&job.spec.id, job.told)).collect();
+    assert!(open.is_empty(), "seed {seed}: never finished {open:?}\n{troubles:#?}");
+    assert!(world.starts > 0);
+}
+
+fn draw(rng: &mut StdRng) -> Trouble {
+    let node = *[0, 1, 2, OWNER, OWNER, OWNER].get(rng.random_range(0..6)).unwrap_or(&0);
+    let ms = rng.random_range(2_000..45_000);
+    match rng.random_range(0..9) {
+        0 | 1 => Trouble::Crash { node },
+        2 => Trouble::CutFromStore { node, ms },
+        3 => Trouble::CutFromPeers { node, ms },
+        4 => Trouble::CutFromWorkers { node, ms },
+        5 => Trouble::StoreOutage { ms: ms / 2 },
+        6 => Trouble::CloudOutage { ms },
+        7 => Trouble::MachineCut { ms },
+        _ if rng.random_bool(0.5) => Trouble::MachineTaken,
+        _ => Trouble::MachineSick,
+    }
+}
+
+#[test]
+fn a_quiet_day() {
+    check(1, Vec::new());
+}
+
+#[test]
+fn drawn_troubles() {
+    for seed in 0..60 {
+        let mut rng = StdRng::seed_from_u64(1_000 + seed);
+        let count = rng.random_range(3..12);
+        let troubles = (0..count).map(|_| (rng.random_range(5_000..110_000), draw(&mut rng)));
+        check(seed, troubles.collect());
+    }
+}
+
+#[test]
+fn every_controller_crashes_at_once_and_again() {
+    let crash = |at| (0..3).map(move |node| (at, Trouble::Crash { node }));
+    check(2, crash(20_000).chain(crash(21_000)).chain(crash(50_000)).collect());
+}
+
+#[test]
+fn the_owner_is_cut_from_the_store_while_machines_are_taken() {
+    check(
+        3,
+        vec![
+            (
+                30_000,
+                Trouble::CutFromStore {
+                    node: OWNER,
+                    ms: 40_000,
+                },
+            ),
+            (31_000, Trouble::MachineTaken),
+            (33_000, Trouble::MachineTaken),
+            (
+                60_000,
+                Trouble::CutFromStore {
+                    node: OWNER,
+                    ms: 30_000,
+                },
+            ),
+        ],
+    );
+}
+
+#[test]
+fn the_owner_is_cut_from_everybody_but_the_store() {
+    check(
+        4,
+        vec![
+            (
+                30_000,
+                Trouble::CutFromPeers {
+                    node: OWNER,
+                    ms: 50_000,
+                },
+            ),
+            (
+                30_000,
+                Trouble::CutFromWorkers {
+                    node: OWNER,
+                    ms: 50_000,
+                },
+            ),
+        ],
+    );
+}
+
+#[test]
+fn an_outage_of_the_store_with_a_crash_right_after() {
+    check(
+        5,
+        vec![
+            (30_000, Trouble::StoreOutage { ms: 12_000 }),
+            (42_500, Trouble::Crash { node: OWNER }),
+            (60_000, Trouble::StoreOutage { ms: 26_000 }),
+            (86_100, Trouble::Crash { node: 0 }),
+            (86_100, Trouble::Crash { node: 1 }),
+        ],
+    );
+}
--- /dev/null
+++ b/tests/world/store.rs
@@ -0,0 +1,167 @@
+//! A stand-in for the state service, by its published protocol.
+
+use std::collections::BTreeMap;
+use sumacbend::store::{StoreReply, StoreRequest};
+use sumacbend::wire::{Change, Entry, Event, Log, Page, Transaction};
+
+#[derive(Default)]
+pub struct Store {
+    entries: BTreeMap<String, (serde_json::Value, u64, Option<u64>)>,
+    pub revision: u64,
+    log: Vec<Event>,
+    leases: BTreeMap<u64, (u64, u64)>,
+    next_lease: u64,
+}
+
+impl Store {
+    pub fn expire(&mut self, now: u64) {
+        let gone: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, until))| now > *until)
+            .map(|(&id, _)| id)
+            .collect();
+        for lease in gone {
+            self.leases.remove(&lease);
+            let keys: Vec<String> = self
+                .entries
+                .iter()
+                .filter(|(_, e)| e.2 == Some(lease))
+                .map(|(k, _)| k.clone())
+                .collect();
+            for key in keys {
+                self.revision += 1;
+                self.delete(&key);
+            }
+        }
+    }
+
+    /// After an outage every lease has its full time again.
+    pub fn refresh_leases(&mut self, now: u64) {
+        for (ttl, until) in self.leases.values_mut() {
+            *until = now + *ttl;
+        }
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.entries.remove(key).is_some() {
+            self.log.push(Event {
+                put: None,
+                delete: Some(key.into()),
+                value: serde_json::Value::Null,
+                version: self.revision,
+            });
+        }
+    }
+
+    pub fn execute(&mut self, now: u64, request: &StoreRequest) -> StoreReply {
+        self.expire(now);
+        match request {
+            StoreRequest::Get(key) => match self.entries.get(key) {
+                Some((value, version, _)) => StoreReply::Found {
+                    value: value.clone(),
+                    version: *version,
+                },
+                None => StoreReply::Missing,
+            },
+            StoreRequest::List { prefix, after } => {
+                let mut items = Vec::new();
+                let mut more = false;
+                for (key, (value, version, _)) in self.entries.range(prefix.clone()..) {
+                    if !key.starts_with(prefix.as_str()) {
+                        break;
+                    }
+                    if key <= after {
+                        continue;
+                    }
+                    // Small pages, so that reading in pages is exercised.
+                    if items.len() == 7 {
+                        more = true;
+                        break;
+                    }
+                    items.push(Entry {
+                        key: key.clone(),
+                        value: value.clone(),
+                        version: *version,
+                    });
+                }
+                StoreReply::Page(Page {
+                    items,
+                    more,
+                    revision: self.revision,
+                })
+            }
+            StoreRequest::Transact(transaction) => self.transact(transaction),
+            StoreRequest::Grant { ttl_ms } => {
+                self.next_lease += 1;
+                self.leases.insert(self.next_lease, (*ttl_ms, now + ttl_ms));
+                StoreReply::Granted { lease: self.next_lease }
+            }
+            StoreRequest::Renew(lease) => match self.leases.get_mut(lease) {
+                Some((ttl, until)) => {
+                    *until = now + *ttl;
+                    StoreReply::Renewed
+                }
+                None => StoreReply::LeaseGone,
+            },
+            StoreRequest::Watch { prefix, since, .. } => {
+                let events = self.log.iter().filter(|event| event.version > *since);
+                let events = events.filter(|event| {
+                    let key = event.put.as_ref().or(event.delete.as_ref());
+                    key.is_some_and(|key| key.starts_with(prefix.as_str()))
+                });
+                StoreReply::Log(Log {
+                    revision: self.revision,
+                    events: events.cloned().collect(),
+                })
+            }
+        }
+    }
+
+    fn transact(&mut self, transaction: &Transaction) -> StoreReply {
+        assert!(
+            transaction.changes.len() <= 48 && transaction.conditions.len() <= 192,
+            "a transaction is too large"
+        );
+        let bytes = serde_json::to_vec(transaction).expect("json").len();
+        assert!(bytes <= 64 * 1024, "a transaction of {bytes} bytes");
+        for change in &transaction.changes {
+            if let Change::Put { value, lease, .. } = change {
+                assert!(
+                    serde_json::to_vec(value).expect("json").len() <= 16 * 1024,
+                    "a value is too large"
+                );
+                if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+                    return StoreReply::LeaseGone;
+                }
+            }
+        }
+        let failed: Vec<String> = transaction
+            .conditions
+            .iter()
+            .filter(|condition| self.entries.get(&condition.key).map_or(0, |e| e.1) != condition.version)
+            .map(|condition| condition.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return StoreReply::Conflict { failed };
+        }
+        self.revision += 1;
+        for change in &transaction.changes {
+            match change {
+                Change::Put { put, value, lease } => {
+                    self.entries.insert(put.clone(), (value.clone(), self.revision, *lease));
+                    self.log.push(Event {
+                        put: Some(put.clone()),
+                        delete: None,
+                        value: value.clone(),
+                        version: self.revision,
+                    });
+                }
+                Change::Delete { delete } => self.delete(delete),
+            }
+        }
+        StoreReply::Committed {
+            revision: self.revision,
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/worker.rs
@@ -0,0 +1,194 @@
+//! A stand-in for a worker and its machine, by the published protocol.
+
+use std::collections::BTreeMap;
+use sumacbend::wire::{Command, DirectCommands, Report, ReportAnswer, TaskReport, TaskState, Why};
+
+pub struct Running {
+    pub attempt: u64,
+    pub state: TaskState,
+    pub why: Option<Why>,
+    /// When it leaves its present state by itself.
+    pub until: u64,
+    pub run_ms: u64,
+}
+
+pub struct Worker {
+    pub name: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub up_at: u64,
+    pub gone: bool,
+    pub cut_until: u64,
+    pub sick: bool,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub lease_from: u64,
+    pub taken_at: Option<u64>,
+    pub node: usize,
+    pub report_out: Option<(u64, u64)>,
+    pub next_report: u64,
+    pub tasks: BTreeMap<String, Running>,
+}
+
+/// What the rules look at.
+pub enum Effect {
+    Started { task: String },
+    Left { task: String, done: bool },
+}
+
+impl Worker {
+    pub fn up(&self, now: u64) -> bool {
+        !self.gone && now >= self.up_at
+    }
+
+    pub fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.name.clone(),
+            address: self.name.clone(),
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|(task, running)| TaskReport {
+                    task: task.clone(),
+                    attempt: running.attempt,
+                    state: running.state,
+                    why: running.why,
+                })
+                .collect(),
+        }
+    }
+
+    /// Time passes: leases lapse, fetches and runs end.
+    pub fn advance(&mut self, now: u64, lease_ms: u64, effects: &mut Vec<Effect>) {
+        if now > self.lease_from + lease_ms {
+            for (task, running) in std::mem::take(&mut self.tasks) {
+                if matches!(running.state, TaskState::Running | TaskState::Saving) {
+                    effects.push(Effect::Left { task, done: false });
+                }
+            }
+            self.session += 1;
+            self.lease_from = now;
+            self.report_out = None;
+            self.next_report = now;
+        }
+        for (task, running) in &mut self.tasks {
+            if running.state == TaskState::Fetching && now >= running.until {
+                running.state = TaskState::Running;
+                running.until = now + running.run_ms;
+                effects.push(Effect::Started { task: task.clone() });
+                if self.sick {
+                    running.state = TaskState::Exited;
+                    running.why = Some(Why::Error);
+                    effects.push(Effect::Left {
+                        task: task.clone(),
+                        done: false,
+                    });
+                }
+                self.next_report = self.next_report.min(now + 200);
+            } else if running.state == TaskState::Running && now >= running.until {
+                running.state = TaskState::Exited;
+                running.why = Some(Why::Done);
+                effects.push(Effect::Left {
+                    task: task.clone(),
+                    done: true,
+                });
+                self.next_report = self.next_report.min(now + 200);
+            }
+        }
+    }
+
+    pub fn answer(
+        &mut self,
+        now: u64,
+        session: u64,
+        sent: u64,
+        answer: &ReportAnswer,
+        run_ms: impl Fn(&str) -> u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        if session != self.session || answer.token < self.token {
+            return;
+        }
+        self.token = answer.token;
+        self.lease_from = self.lease_from.max(sent);
+        self.execute(now, &answer.commands, run_ms, effects);
+    }
+
+    pub fn direct(
+        &mut self,
+        now: u64,
+        commands: &DirectCommands,
+        run_ms: impl Fn(&str) -> u64,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        if commands.token < self.token || commands.session != self.session {
+            return false;
+        }
+        if commands.token > self.token {
+            self.next_report = self.next_report.min(now + 300);
+        }
+        self.token = commands.token;
+        self.execute(now, &commands.commands, run_ms, effects);
+        true
+    }
+
+    fn execute(&mut self, now: u64, commands: &[Command], run_ms: impl Fn(&str) -> u64, effects: &mut Vec<Effect>) {
+        for command in commands {
+            match command {
+                Command::Start { task, attempt } => {
+                    if let Some(running) = self.tasks.get(task) {
+                        if running.attempt != *attempt && running.state != TaskState::Exited {
+                            continue;
+                        }
+                        if running.attempt == *attempt {
+                            continue;
+                        }
+                    }
+                    let running = Running {
+                        attempt: *attempt,
+                        state: TaskState::Fetching,
+                        why: None,
+                        until: now + 800,
+                        run_ms: run_ms(task),
+                    };
+                    self.tasks.insert(task.clone(), running);
+                }
+                Command::Stop { task, attempt, .. } => {
+                    if let Some(running) = self.tasks.get_mut(task)
+                        && running.attempt == *attempt
+                        && running.state != TaskState::Exited
+                    {
+                        if running.state == TaskState::Running {
+                            effects.push(Effect::Left {
+                                task: task.clone(),
+                                done: false,
+                            });
+                        }
+                        running.state = TaskState::Exited;
+                        running.why = Some(Why::Stopped);
+                        self.next_report = self.next_report.min(now + 200);
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    let over = self
+                        .tasks
+                        .get(task)
+                        .is_some_and(|r| r.attempt == *attempt && r.state == TaskState::Exited);
+                    if over {
+                        self.tasks.remove(task);
+                    }
+                }
+            }
+        }
+    }
+}
