Give a new worker session its whole lease before its tasks count as lost

Ruled out: late commands, absence from reports. The session's lease now counts from when the session was first heard.

--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -59,6 +59,8 @@
         machine.taken_at = report.notice_s.map(|left| now + crate::millis(left));
         if new_session {
             machine.doubt = 0;
+            // A session has its whole lease from its beginning, answered or not.
+            machine.answered_at = machine.answered_at.max(now);
         }
         let open = machine.open.clone();
         machine.strays.clear();
@@ -218,3 +220,138 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::policy::Policy;
+    use crate::settings::{Settings, tests::SAMPLE};
+    use crate::store::JobKey;
+    use crate::wire::{Catalogue, JobSpec, MachineType, TaskReport};
+    use serde_json::json;
+
+    const MINUTE: Millis = 60_000;
+
+    /// A share of term 5 with one machine heard in session 1 and one job of a
+    /// single task placed and written there.
+    fn share() -> (Share, Ix) {
+        let settings = Settings::parse(SAMPLE).expect("valid settings");
+        let mut share = Share::new("pool", 5, &settings, &Policy::default());
+        share.set_catalogue(&Catalogue {
+            types: vec![MachineType {
+                name: "small".into(),
+                cpus: 8.0,
+                gpus: 0.0,
+                memory_gb: 32.0,
+                cache_gb: 50.0,
+                fetch_gb_per_s: 1.0,
+                price: 1.0,
+                spot_price: None,
+                boot_s: 5.0,
+                zones: vec!["north".into()],
+            }],
+        });
+        let spec: JobSpec = serde_json::from_value(json!({"id":"j-1","lotType":"sort","consignor":"floor",
+            "saleFormat":"array","bidRank":"high","lots":1,"cores":4.0,"cards":0.0,"memGb":8.0,"catalog":"img",
+            "pullGb":1.0,"oneZone":false,"scatter":false,"loaner":false,"appraisedS":5.0,"tallyS":0.0,"ledgerS":0.0}))
+        .expect("a job");
+        let key = JobKey {
+            spec,
+            accepted_ms: 0,
+            ended: None,
+        };
+        share.job_changed(0, "j-1", &key, 1);
+        share.merge_report(0, &report(1, 1, 5, Vec::new()));
+        let machine = share.machines.find("host-1").expect("known");
+        share.machines.get_mut(machine).expect("there").version = 1;
+        share.place(0);
+        let attempt = share.machines.get(machine).expect("there").open[0];
+        share.attempts.get_mut(attempt).expect("open").written = true;
+        (share, machine)
+    }
+
+    fn report(session: u64, seq: u64, token: u64, tasks: Vec<TaskReport>) -> Report {
+        Report {
+            machine: "host-1".into(),
+            address: "127.0.0.1:9".into(),
+            machine_type: "small".into(),
+            zone: "north".into(),
+            spot: false,
+            session,
+            seq,
+            token,
+            notice_s: None,
+            tasks,
+        }
+    }
+
+    fn task(state: TaskState, why: Option<Why>) -> TaskReport {
+        TaskReport {
+            task: "j-1/0".into(),
+            attempt: 1,
+            state,
+            why,
+        }
+    }
+
+    fn open(share: &Share) -> usize {
+        share.attempts.iter().count()
+    }
+
+    #[test]
+    fn absence_from_a_report_proves_nothing_while_a_start_may_arrive() {
+        let (mut share, machine) = share();
+        let attempt = share.machines.get(machine).expect("there").open[0];
+        share.attempts.get_mut(attempt).expect("open").stop = Some(0.0);
+        share.machines.get_mut(machine).expect("there").doubt = 5;
+        share.merge_report(MINUTE, &report(1, 2, 5, Vec::new()));
+        assert_eq!(open(&share), 1);
+        assert!(share.withdraw);
+        // A higher token seen by the worker withdraws whatever is on its way.
+        share.term = 6;
+        share.merge_report(MINUTE, &report(1, 3, 6, Vec::new()));
+        assert_eq!(open(&share), 0);
+    }
+
+    #[test]
+    fn reports_are_ordered_by_session_and_sequence() {
+        let (mut share, _) = share();
+        share.merge_report(10, &report(1, 5, 5, vec![task(TaskState::Running, None)]));
+        let old = report(1, 4, 5, vec![task(TaskState::Exited, Some(Why::Done))]);
+        assert_eq!(share.merge_report(20, &old), Merged::Old);
+        assert_eq!(open(&share), 1);
+        assert_eq!(share.merge_report(20, &report(1, 9, 7, Vec::new())), Merged::Outranked);
+        share.merge_report(30, &report(2, 1, 5, Vec::new()));
+        assert_eq!(open(&share), 0);
+    }
+
+    /// Guards against reckoning a new session's lease from the last answer to
+    /// the session before: its tasks were taken for lost while they ran.
+    #[test]
+    fn a_new_session_has_its_whole_lease() {
+        let (mut share, _) = share();
+        let late = share.lapse_ms - 10;
+        share.merge_report(late, &report(2, 1, 5, Vec::new()));
+        share.place(late);
+        assert_eq!(open(&share), 1);
+        share.close_lapsed(late + 1_000);
+        assert_eq!(open(&share), 1);
+        share.close_lapsed(late + share.lapse_ms + 1);
+        assert_eq!(open(&share), 0);
+    }
+
+    #[test]
+    fn an_end_is_forgotten_only_once_it_is_written() {
+        let (mut share, machine) = share();
+        let over = vec![task(TaskState::Exited, Some(Why::Error))];
+        share.merge_report(10, &report(1, 2, 5, over.clone()));
+        share.merge_report(10, &report(1, 3, 5, over));
+        assert!(share.commands(10, machine).is_empty());
+        let ix = share.jobs.find("j-1").expect("known");
+        share.jobs.get_mut(ix).expect("there").chunks[0].dirty = false;
+        assert!(matches!(share.commands(10, machine)[..], [Command::Forget { .. }]));
+        // Not while a start that went unanswered may still bring it back.
+        share.machines.get_mut(machine).expect("there").doubt = 5;
+        assert!(share.commands(10, machine).is_empty());
+    }
+}
