Count demand by what tasks ask of machines, not by class alone

Ruled out: the job being unknown to the owner. The forecast now groups jobs by class and shape (size, types, zone, spot) and fits each only into machines it may be on.

--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -3,7 +3,7 @@
 use crate::ids::{Ix, Names, Table};
 use crate::pipeline::ledger::Ledger;
 use crate::pipeline::{ChunkValue, Door, Job, chunk_tasks, error_pause};
-use crate::placement::{TeamUse, TypeInfo, need};
+use crate::placement::{Shape, TeamUse, TypeInfo};
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::store::{JobKey, Keys};
@@ -36,7 +36,7 @@
     pub classes: Names,
     pub type_info: Vec<Option<TypeInfo>>,
     pub teams_use: Vec<TeamUse>,
-    pub class_shape: BTreeMap<Ix, Room>,
+    pub class_shape: BTreeMap<Ix, Shape>,
 
     pub jobs: Table<Job>,
     pub attempts: Attempts,
@@ -191,7 +191,7 @@
             let Some(job) = self.jobs.get_mut(job_ix) else {
                 continue;
             };
-            let room = need(job);
+            let room = job.shape.room;
             let ended = job.ended.is_some();
             let ix = self.attempts.insert(Attempt {
                 job: job_ix,
@@ -343,7 +343,7 @@
         let Some(job) = self.jobs.get_mut(attempt.job) else {
             return;
         };
-        let room = need(job);
+        let room = job.shape.room;
         self.teams_use[job.team as usize].used.take(room);
         job.open.remove(&attempt.task);
         if let Some(machine) = self.machines.get_mut(attempt.machine) {
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -2,8 +2,7 @@
 use crate::Millis;
 use crate::controller::Share;
 use crate::ids::Ix;
-use crate::pipeline::Job;
-use crate::placement::need;
+use crate::placement::Shape;
 use crate::workers::Room;
 use std::collections::BTreeMap;
 
@@ -16,8 +15,7 @@
 
 /// A number of like tasks wanted at once.
 struct Want {
-    room: Room,
-    job: Ix,
+    shape: Shape,
     count: u32,
 }
 
@@ -82,15 +80,16 @@
     /// Tasks of each class to be ready for: what waits and runs now, or what
     /// ran on average lately with some headroom, whichever is more.
     fn forecast(&mut self, now: Millis) -> Vec<Want> {
-        let mut shapes: BTreeMap<Ix, (Ix, u64)> = BTreeMap::new();
         let mut team_wants: BTreeMap<(Ix, Ix), (f64, f64)> = BTreeMap::new();
-        for (ix, job) in self.jobs.iter().filter(|(_, job)| job.live()) {
-            let shape = shapes.entry(job.class).or_insert((ix, job.accepted_ms));
-            if job.accepted_ms >= shape.1 {
-                *shape = (ix, job.accepted_ms);
-            }
-            // A job that keeps failing must not rent machines.
-            let waiting = if job.errors > 3 { 0 } else { job.waiting() };
+        for (_, job) in self.jobs.iter().filter(|(_, job)| job.live()) {
+            self.class_shape.entry(job.class).or_insert_with(|| job.shape.clone());
+            // A job that keeps failing must not rent machines for all its tasks,
+            // but it is tried again, so it needs one.
+            let waiting = if job.errors > 3 {
+                job.waiting().min(1)
+            } else {
+                job.waiting()
+            };
             let wanted = f64::from(waiting) + job.open.len() as f64;
             let entry = team_wants.entry((job.class, job.team)).or_default();
             entry.0 += wanted;
@@ -115,18 +114,18 @@
             while demand.history.front().is_some_and(|&(at, _)| at + horizon < now) {
                 demand.history.pop_front();
             }
-            if let Some(&(job, _)) = shapes.get(&class) {
-                self.class_shape
-                    .insert(class, self.jobs.get(job).map(need).unwrap_or_default());
-            }
             let count = demand.target(self.policy.headroom);
-            let room = self.class_shape.get(&class).copied().unwrap_or_default();
-            if count > 0 {
-                let job = shapes.get(&class).map_or(Ix::MAX, |&(job, _)| job);
-                wants.push(Want { room, job, count });
+            if count > 0
+                && let Some(shape) = self.class_shape.get(&class)
+            {
+                let shape = shape.clone();
+                wants.push(Want { shape, count });
             }
         }
-        wants.sort_by(|a, b| b.room.cpus.total_cmp(&a.room.cpus));
+        self.fleet
+            .demand
+            .retain(|_, demand| demand.history.iter().any(|&(_, wanted)| wanted > 0.0));
+        wants.sort_by(|a, b| b.shape.room.cpus.total_cmp(&a.shape.room.cpus));
         wants
     }
 
@@ -162,16 +161,13 @@
                 if left == 0 {
                     break;
                 }
-                let spot = self.machines.get(*ix).is_some_and(|machine| machine.spot);
-                if let Some(job) = self.jobs.get(want.job)
-                    && spot
-                    && !job.spec.spot
-                {
+                let machine = self.machines.get(*ix);
+                if !machine.is_some_and(|m| want.shape.allows(m.type_ix, m.zone, m.spot)) {
                     continue;
                 }
-                let fits = room.count(want.room).min(left);
+                let fits = room.count(want.shape.room).min(left);
                 for _ in 0..fits {
-                    room.take(want.room);
+                    room.take(want.shape.room);
                 }
                 *used |= fits > 0;
                 left -= fits;
@@ -210,30 +206,26 @@
 
     /// The cheapest way to rent room for the wanted tasks.
     fn best_offer(&self, now: Millis, want: &Want, left: u32, planned: &BTreeMap<Offer, u32>) -> Option<(Offer, u32)> {
-        let job: Option<&Job> = self.jobs.get(want.job);
         let mut best: Option<((f64, u32), Offer, u32)> = None;
         for (type_ix, info) in self.type_info.iter().enumerate() {
             let Some(info) = info else {
                 continue;
             };
             let type_ix = type_ix as Ix;
-            if job.is_some_and(|job| job.types.as_ref().is_some_and(|types| !types.contains(&type_ix))) {
-                continue;
-            }
-            let fits = info.room.count(want.room);
+            let fits = info.room.count(want.shape.room);
             if fits == 0 {
                 continue;
             }
             for &zone in &info.zones {
-                if job.is_some_and(|job| job.zone.is_some_and(|only| only != zone)) {
-                    continue;
-                }
                 for spot in [true, false] {
                     let price = match (spot, info.spot_price) {
-                        (true, Some(price)) if job.is_none_or(|job| job.spec.spot) => price,
+                        (true, Some(price)) => price,
+                        (true, None) => continue,
                         (false, _) => info.price,
-                        _ => continue,
                     };
+                    if !want.shape.allows(type_ix, zone, spot) {
+                        continue;
+                    }
                     let offer = (type_ix, zone, spot);
                     if self.fleet.refused.get(&offer).is_some_and(|&until| now < until) {
                         continue;
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -13,8 +13,10 @@
 
 use crate::Millis;
 use crate::ids::Ix;
+use crate::placement::Shape;
 use crate::store::JobKey;
 use crate::wire::{JobSpec, Priority, Standing};
+use crate::workers::Room;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -53,10 +55,10 @@
     pub spec: JobSpec,
     pub team: Ix,
     pub image: Ix,
+    /// Jobs of one class whose tasks also ask for the same: what demand is
+    /// counted by.
     pub class: Ix,
-    /// Allowed machine types; `None` for any.
-    pub types: Option<Vec<Ix>>,
-    pub zone: Option<Ix>,
+    pub shape: Shape,
     pub accepted_ms: u64,
     pub key_version: u64,
     pub ended: Option<Standing>,
@@ -167,18 +169,26 @@
     pub fn admit(&mut self, key: &JobKey, version: u64, chunk_tasks: u32) -> Option<Job> {
         let spec = key.spec.clone();
         let team = self.teams.get(&spec.team)?;
-        let types = spec
-            .types
-            .as_ref()
-            .map(|types| types.iter().map(|name| self.types.intern(name)).collect());
+        let shape = Shape {
+            room: Room {
+                cpus: spec.cpus,
+                gpus: spec.gpus,
+                memory_gb: spec.memory_gb,
+            },
+            types: spec
+                .types
+                .as_ref()
+                .map(|types| types.iter().map(|name| self.types.intern(name)).collect()),
+            zone: spec.zone.as_ref().map(|zone| self.zones.intern(zone)),
+            spot: spec.spot,
+        };
         let chunks = spec.tasks.div_ceil(chunk_tasks) as usize;
         Some(Job {
             id: spec.id.clone(),
             team,
             image: self.images.intern(&spec.image),
-            class: self.classes.intern(&spec.class),
-            types,
-            zone: spec.zone.as_ref().map(|zone| self.zones.intern(zone)),
+            class: self.classes.intern(&format!("{} {shape:?}", spec.class)),
+            shape,
             accepted_ms: key.accepted_ms,
             key_version: version,
             ended: key.ended,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -42,11 +42,21 @@
     }
 }
 
-pub fn need(job: &Job) -> Room {
-    Room {
-        cpus: job.spec.cpus,
-        gpus: job.spec.gpus,
-        memory_gb: job.spec.memory_gb,
+/// What a task takes and which machines it may be on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Shape {
+    pub room: Room,
+    /// `None` for any.
+    pub types: Option<Vec<Ix>>,
+    pub zone: Option<Ix>,
+    pub spot: bool,
+}
+
+impl Shape {
+    pub fn allows(&self, type_ix: Ix, zone: Ix, spot: bool) -> bool {
+        (self.spot || !spot)
+            && self.types.as_ref().is_none_or(|types| types.contains(&type_ix))
+            && self.zone.is_none_or(|only| only == zone)
     }
 }
 
@@ -73,7 +83,7 @@
                 let Some(task) = job.peek(now) else {
                     break;
                 };
-                let room = need(job);
+                let room = job.shape.room;
                 let team = job.team;
                 if !self.teams_use[team as usize].may_add(room) {
                     break;
@@ -103,7 +113,7 @@
             .iter()
             .filter(|(_, job)| job.live() && job.waiting() > 0)
             .map(|(ix, job)| {
-                let beyond = !self.teams_use[job.team as usize].within_guarantee(need(job));
+                let beyond = !self.teams_use[job.team as usize].within_guarantee(job.shape.room);
                 (std::cmp::Reverse(job.priority()), beyond, job.accepted_ms, ix)
             })
             .collect();
@@ -115,7 +125,7 @@
         let Some(job) = self.jobs.get(ix) else {
             return Choice::NoRoom;
         };
-        let room = need(job);
+        let room = job.shape.room;
         let zones = self.zones_open_to(job);
         let mut best: Option<((bool, bool, f64, f64), Ix)> = None;
         let mut holder_full = false;
@@ -207,7 +217,7 @@
         if job.waiting() == 0 {
             job.waiting_since = None;
         }
-        let room = need(job);
+        let room = job.shape.room;
         self.teams_use[job.team as usize].used.add(room);
         machine.used.add(room);
         let cache_gb = self.type_info[machine.type_ix as usize]
@@ -222,8 +232,6 @@
 }
 
 fn allows(job: &Job, machine: &Machine, zones: &Option<Vec<Ix>>) -> bool {
-    (!machine.spot || job.spec.spot)
-        && job.types.as_ref().is_none_or(|types| types.contains(&machine.type_ix))
-        && job.zone.is_none_or(|zone| zone == machine.zone)
+    job.shape.allows(machine.type_ix, machine.zone, machine.spot)
         && zones.as_ref().is_none_or(|zones| zones.contains(&machine.zone))
 }
