Rent for waiting tasks by how long they last, ordinary machines for firm demand

Waiting tasks now count by estimate over estimate plus boot time; the mean with headroom rents spot machines only. Ruled out: idle time alone, since the fleet was busy.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -45,6 +45,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
     pub now: f64,
+    /// Of these, what new machines would still be there for in time.
+    pub lasting: f64,
     /// Samples of tasks wanted at once, over the forecast period.
     pub history: VecDeque<(Millis, f64)>,
 }
