Keep ordinary machines for lasting work and return them sooner

Running short tasks now count like waiting ones, headroom keeps spot machines only, idle ordinary machines go after a third of the time.

--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -94,14 +94,14 @@
             } else {
                 job.waiting()
             };
-            // By the time a new machine is up, short tasks have found room on
-            // the old ones.
+            // By the time a new machine is up, short tasks are over, or have
+            // found room on the old ones.
             let boot_s = self.boot_s(&job.shape);
-            let lasting = f64::from(waiting) * job.spec.estimate_s / (job.spec.estimate_s + boot_s).max(0.001);
-            let open = job.open.len() as f64;
+            let wanted = f64::from(waiting) + job.open.len() as f64;
+            let lasting = wanted * job.spec.estimate_s / (job.spec.estimate_s + boot_s).max(0.001);
             let entry = team_wants.entry((job.class, job.team)).or_default();
-            entry.0 += open + f64::from(waiting);
-            entry.1 += open + lasting;
+            entry.0 += wanted;
+            entry.1 += lasting;
             entry.2 = job.spec.cpus;
         }
         for demand in self.fleet.demand.values_mut() {
@@ -189,7 +189,13 @@
                 if !machine.is_some_and(|m| want.shape.allows(m.type_ix, m.zone, m.spot)) {
                     continue;
                 }
-                let fits = room.count(want.shape.room).min(left);
+                // Headroom is not worth an ordinary machine.
+                let most = if machine.is_some_and(|m| m.spot) || !want.shape.spot {
+                    left
+                } else {
+                    left.saturating_sub(want.count.saturating_sub(want.firm))
+                };
+                let fits = room.count(want.shape.room).min(most);
                 for _ in 0..fits {
                     room.take(want.shape.room);
                 }
@@ -222,6 +228,7 @@
                 continue;
             };
             let up = machine.heard_at.is_some();
+            let idle_ms = if machine.spot { idle_ms } else { idle_ms / 3 };
             if !used && up && machine.open.is_empty() && now > machine.idle_since + idle_ms {
                 tracing::info!(machine = machine.name, "returning an idle machine");
                 machine.condemned = true;
