--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -276,6 +276,7 @@
         let Some(share) = &mut self.share else {
             return;
         };
+        share.wall = self.wall;
         share.close_lapsed(self.now);
         share.plan_fleet(self.now);
         let due = if self.place_wanted {
@@ -288,6 +289,7 @@
             self.place_wanted = false;
             share.drain(self.now);
             share.place(self.now);
+            share.preempt(self.now);
         }
         self.commit();
         self.push_commands();
--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -23,6 +23,10 @@
     pub term: u64,
     pub policy: Policy,
     pub report_s: f64,
+    /// The time of day of the step now going on.
+    pub wall: Millis,
+    /// In which time jobs of a class should be complete.
+    pub due: BTreeMap<String, Millis>,
     /// After this much time without an answer a worker has dropped its tasks.
     pub lapse_ms: Millis,
     pub chunk_tasks: u32,
@@ -73,11 +77,25 @@
         for zone in &params.zones {
             zones.intern(zone);
         }
+        let mut due: BTreeMap<String, Millis> = BTreeMap::new();
+        for objective in params
+            .objectives
+            .iter()
+            .filter(|objective| objective.kind == "finished")
+        {
+            if let (Some(class), Some(within_s)) = (&objective.class, objective.within_s) {
+                let within = crate::millis(within_s);
+                let least = due.entry(class.clone()).or_insert(within);
+                *least = within.min(*least);
+            }
+        }
         Share {
             name: name.into(),
             term,
             policy: policy.clone(),
             report_s: params.workers.report_s,
+            wall: 0,
+            due,
             // Drift of both clocks, and a second for good measure.
             lapse_ms: crate::millis(params.workers.lease_s * 1.002) + 1_000,
             chunk_tasks: chunk_tasks(params.state.value_kb),
@@ -251,6 +269,7 @@
                 zones: &mut self.zones,
                 images: &mut self.images,
                 classes: &mut self.classes,
+                due: &self.due,
             };
             match door.admit(key, version, self.chunk_tasks) {
                 Some(job) => {
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -60,6 +60,8 @@
     pub class: Ix,
     pub shape: Shape,
     pub accepted_ms: u64,
+    /// When it should be complete by its class's aim, by time of day.
+    pub due_ms: u64,
     pub key_version: u64,
     pub ended: Option<Standing>,
     pub trigger: BySet,
@@ -73,6 +75,8 @@
     pub retry: VecDeque<(Millis, u32)>,
     /// Since when a released task waits for a better machine.
     pub waiting_since: Option<Millis>,
+    /// Since when no machine has room for its next task.
+    pub short_since: Option<Millis>,
     /// Failures in a row, and the machines they happened on.
     pub errors: u32,
     pub failed_on: Vec<Ix>,
@@ -100,12 +104,11 @@
         self.spec.tasks - self.done.len() - self.open.len() as u32
     }
 
-    /// When it should be complete, by time of day; without a deadline, far off.
-    pub fn due_ms(&self) -> u64 {
-        match self.spec.deadline_s {
-            Some(deadline) => self.accepted_ms + crate::millis(deadline),
-            None => u64::MAX,
-        }
+    /// Whether one of its tasks, started again at `wall_ms`, would still end
+    /// well before the job is due.
+    pub fn has_slack(&self, wall_ms: u64) -> bool {
+        let again = crate::millis(self.spec.estimate_s * 1.5) + SLACK_MS;
+        wall_ms + again < self.due_ms
     }
 
     /// The next task to place, without taking it.
@@ -142,6 +145,9 @@
     }
 }
 
+/// Waiting and fetching again, before a stopped task runs again.
+const SLACK_MS: Millis = 45_000;
+
 /// How long a job that keeps failing waits before its next try: it is never
 /// dropped, since only its user ends it, but it must not wear machines out.
 pub fn error_pause(errors: u32) -> Millis {
@@ -163,6 +169,8 @@
     pub zones: &'a mut crate::ids::Names,
     pub images: &'a mut crate::ids::Names,
     pub classes: &'a mut crate::ids::Names,
+    /// In which time jobs of a class should be complete.
+    pub due: &'a BTreeMap<String, Millis>,
 }
 
 impl Door<'_> {
@@ -190,6 +198,10 @@
             class: self.classes.intern(&format!("{} {shape:?}", spec.class)),
             shape,
             accepted_ms: key.accepted_ms,
+            due_ms: self
+                .due
+                .get(&spec.class)
+                .map_or(u64::MAX, |&within| key.accepted_ms + within),
             key_version: version,
             ended: key.ended,
             // Jobs have no upstream today: an empty set fires at once.
@@ -206,6 +218,7 @@
             fresh: 0,
             retry: VecDeque::new(),
             waiting_since: None,
+            short_since: None,
             errors: 0,
             failed_on: Vec::new(),
             spec,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,6 +1,8 @@
 //! Which released task goes where: team limits and order, then one batch by
 //! Algorithm 1 toward the machines that hold the tasks' images.
 
+mod preempt;
+
 use crate::Millis;
 use crate::controller::Share;
 use crate::ids::Ix;
@@ -88,7 +90,9 @@
                 if !self.teams_use[team as usize].may_add(room) {
                     break;
                 }
-                match self.choose(now, ix) {
+                let choice = self.choose(now, ix);
+                self.note_short(now, ix, &choice);
+                match choice {
                     Choice::Place(machine) => {
                         self.open_attempt(ix, task, machine);
                         planned += 1;
@@ -215,6 +219,7 @@
         chunk.dirty = true;
         job.take(task);
         if job.waiting() == 0 {
+            job.short_since = None;
             job.waiting_since = None;
         }
         let room = job.shape.room;
--- /dev/null
+++ b/src/placement/preempt.rs
@@ -0,0 +1,133 @@
+use super::Choice;
+use crate::Millis;
+use crate::controller::Share;
+use crate::ids::Ix;
+use crate::wire::TaskState;
+use crate::workers::Room;
+use std::collections::BTreeMap;
+
+/// Tasks made room for in one round.
+const ROUND: usize = 20;
+
+impl Share {
+    /// Stops tasks of lower priority where a task has waited for room too long.
+    /// The room is taken by the next rounds of placement, which go by priority.
+    pub fn preempt(&mut self, now: Millis) {
+        let wait_ms = crate::millis(self.policy.preempt_wait_s);
+        // Room that stops already asked for will give.
+        let mut coming: BTreeMap<Ix, Room> = BTreeMap::new();
+        for (_, attempt) in self.attempts.iter().filter(|(_, attempt)| attempt.stop.is_some()) {
+            if let Some(job) = self.jobs.get(attempt.job) {
+                coming.entry(attempt.machine).or_default().add(job.shape.room);
+            }
+        }
+        let mut stopped = 0;
+        for job_ix in self.placement_order() {
+            let Some(job) = self.jobs.get(job_ix) else {
+                continue;
+            };
+            let Some(short_since) = job.short_since else {
+                continue;
+            };
+            if now < short_since + wait_ms {
+                continue;
+            }
+            let room = job.shape.room;
+            let mut team = self.teams_use[job.team as usize];
+            for _ in 0..job.waiting() {
+                if stopped >= ROUND || !team.may_add(room) {
+                    break;
+                }
+                let Some((machine, victims)) = self.cheapest_room(now, job_ix, &coming) else {
+                    break;
+                };
+                team.used.add(room);
+                let given = coming.entry(machine).or_default();
+                for victim in victims {
+                    let Some(attempt) = self.attempts.get_mut(victim) else {
+                        continue;
+                    };
+                    attempt.stop = Some(0.0);
+                    if let Some(job) = self.jobs.get(attempt.job) {
+                        given.add(job.shape.room);
+                    }
+                    stopped += 1;
+                }
+                given.cpus -= room.cpus;
+                given.gpus -= room.gpus;
+                given.memory_gb -= room.memory_gb;
+                if let Some(machine) = self.machines.get_mut(machine) {
+                    machine.push.wanted = true;
+                }
+            }
+        }
+    }
+
+    /// The machine on which least work is lost by making room for a task of
+    /// this job, and whom to stop there.
+    fn cheapest_room(&self, now: Millis, job_ix: Ix, coming: &BTreeMap<Ix, Room>) -> Option<(Ix, Vec<Ix>)> {
+        let job = self.jobs.get(job_ix)?;
+        let room = job.shape.room;
+        let zones = self.zones_open_to(job);
+        let mut best: Option<(f64, Ix, Vec<Ix>)> = None;
+        for (machine_ix, machine) in self.machines.iter() {
+            if !machine.usable(now) || !super::allows(job, machine, &zones) {
+                continue;
+            }
+            let Some(info) = &self.type_info[machine.type_ix as usize] else {
+                continue;
+            };
+            let mut free = info.room.less(machine.used);
+            if let Some(coming) = coming.get(&machine_ix) {
+                free.add(*coming);
+            }
+            let mut victims: Vec<(f64, Ix, Room)> = Vec::new();
+            for &open in &machine.open {
+                let Some(attempt) = self.attempts.get(open) else {
+                    continue;
+                };
+                let Some(other) = self.jobs.get(attempt.job) else {
+                    continue;
+                };
+                if attempt.stop.is_some()
+                    || other.priority() >= job.priority()
+                    || attempt.seen == Some(TaskState::Saving)
+                {
+                    continue;
+                }
+                let ran_s = attempt.running_since.map_or(0.0, |since| (now - since) as f64 / 1000.0);
+                if ran_s > self.policy.preempt_lost_s {
+                    continue;
+                }
+                victims.push((ran_s * other.shape.room.cpus, open, other.shape.room));
+            }
+            victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let mut chosen = Vec::new();
+            let mut lost = if machine.holds(job.image) { 0.0 } else { 1.0 };
+            for (cost, victim, gives) in victims {
+                if free.fits(room) {
+                    break;
+                }
+                free.add(gives);
+                lost += cost;
+                chosen.push(victim);
+            }
+            if free.fits(room) && best.as_ref().is_none_or(|(other, ..)| lost < *other) {
+                best = Some((lost, machine_ix, chosen));
+            }
+        }
+        best.map(|(_, machine, victims)| (machine, victims))
+    }
+
+    /// Notes whether a job is short of room, and since when.
+    pub(super) fn note_short(&mut self, now: Millis, job: Ix, choice: &Choice) {
+        if let Some(job) = self.jobs.get_mut(job) {
+            match choice {
+                Choice::NoRoom => {
+                    job.short_since.get_or_insert(now);
+                }
+                _ => job.short_since = None,
+            }
+        }
+    }
+}
