--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -220,7 +220,9 @@
                 written: true,
                 writing: false,
                 seen: None,
-                running_since: None,
+                // Nobody knows any more; what may have run long is not to be
+                // stopped as if it had just begun.
+                running_since: Some(0),
                 start_sent: None,
                 stop: ended.then_some(0.0),
             });
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -89,6 +89,10 @@
                 let Some(other) = self.jobs.get(attempt.job) else {
                     continue;
                 };
+                // A job with a deadline or soon due keeps its tasks.
+                if other.spec.deadline_s.is_some() || !other.has_slack(self.wall) {
+                    continue;
+                }
                 if attempt.stop.is_some()
                     || other.priority() >= job.priority()
                     || attempt.seen == Some(TaskState::Saving)
