Place the most urgent first, and let those pass that can still be in time

Cause: catalog-photos queue for the few yard-haulers in order of arrival, and jobs already late held up those still in time. Order within a priority: not yet missed, within the guarantee, earliest start that meets deadline or aim.

--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -60,8 +60,10 @@
     pub class: Ix,
     pub shape: Shape,
     pub accepted_ms: u64,
-    /// When it should be complete by its class's aim, by time of day.
+    /// When it should be complete by its class's aim or its deadline, by time of
+    /// day, and when its tasks have to start for that.
     pub due_ms: u64,
+    pub start_by_ms: u64,
     pub key_version: u64,
     pub ended: Option<Standing>,
     pub trigger: BySet,
@@ -145,6 +147,7 @@
     }
 }
 
+const NO_AIM_MS: Millis = 600_000;
 /// Waiting and fetching again, before a stopped task runs again.
 const SLACK_MS: Millis = 45_000;
 
@@ -191,6 +194,13 @@
             spot: spec.spot,
         };
         let chunks = spec.tasks.div_ceil(chunk_tasks) as usize;
+        let class_due = self.due.get(&spec.class).copied();
+        let own_due = spec.deadline_s.map(crate::millis);
+        let due_ms = match class_due.into_iter().chain(own_due).min() {
+            Some(within) => key.accepted_ms + within,
+            // No aim of its own: in order of arrival behind those soon due.
+            None => key.accepted_ms + NO_AIM_MS,
+        };
         Some(Job {
             id: spec.id.clone(),
             team,
@@ -198,10 +208,8 @@
             class: self.classes.intern(&format!("{} {shape:?}", spec.class)),
             shape,
             accepted_ms: key.accepted_ms,
-            due_ms: self
-                .due
-                .get(&spec.class)
-                .map_or(u64::MAX, |&within| key.accepted_ms + within),
+            due_ms,
+            start_by_ms: due_ms.saturating_sub(crate::millis(spec.estimate_s)),
             key_version: version,
             ended: key.ended,
             // Jobs have no upstream today: an empty set fires at once.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -109,8 +109,8 @@
         }
     }
 
-    /// Live jobs with tasks to place: by priority, then those within their
-    /// team's guarantee, then the earliest.
+    /// Live jobs with tasks to place: by priority, then those that can be in
+    /// time, then those within their team's guarantee, then the most urgent.
     fn placement_order(&self) -> Vec<Ix> {
         let mut order: Vec<_> = self
             .jobs
@@ -118,7 +118,9 @@
             .filter(|(_, job)| job.live() && job.waiting() > 0)
             .map(|(ix, job)| {
                 let beyond = !self.teams_use[job.team as usize].within_guarantee(job.shape.room);
-                (std::cmp::Reverse(job.priority()), beyond, job.accepted_ms, ix)
+                // What can't be in time any more lets the others pass.
+                let missed = job.spec.deadline_s.is_some() && self.wall > job.start_by_ms;
+                (std::cmp::Reverse(job.priority()), missed, beyond, job.start_by_ms, ix)
             })
             .collect();
         order.sort_unstable();
