--- a/src/policy.rs
+++ b/src/policy.rs
@@ -61,9 +61,9 @@
 
 policy! {
     /// Longest wait of a released task for the machine that holds its image.
-    locality_wait_s: 5.0 in 0.0..=60.0;
+    locality_wait_s: 1.5 in 0.0..=60.0;
     /// How long a task waits for room before tasks of lower priority are stopped.
-    preempt_wait_s: 2.0 in 0.0..=3600.0;
+    preempt_wait_s: 0.5 in 0.0..=3600.0;
     /// Longest run of a task that may be lost by stopping it for another.
     preempt_lost_s: 15.0 in 0.0..=3600.0;
     /// How long a machine stays unused before it is returned.
