--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -8,6 +8,7 @@
 use crate::ids::Ix;
 use crate::pipeline::Job;
 use crate::workers::{Attempt, Machine, Room};
+use std::collections::BTreeSet;
 
 /// Attempts planned in one round, so that a round stays short.
 const ROUND: usize = 200;
@@ -37,11 +38,6 @@
         let within = |used: f64, need: f64, limit: f64| limit <= 0.0 || used + need <= limit + 1e-6;
         within(self.used.cpus, need.cpus, self.limit.cpus) && within(self.used.gpus, need.gpus, self.limit.gpus)
     }
-
-    pub fn within_guarantee(&self, need: Room) -> bool {
-        self.used.cpus + need.cpus <= self.guarantee.cpus + 1e-6
-            && self.used.gpus + need.gpus <= self.guarantee.gpus + 1e-6
-    }
 }
 
 /// What a task takes and which machines it may be on.
@@ -109,18 +105,50 @@
         }
     }
 
-    /// Live jobs with tasks to place: by priority, then those that can be in
-    /// time, then those within their team's guarantee, then the most urgent.
+    /// Jobs that fit into their team's guarantee along with the team's earlier
+    /// unfinished jobs: these need not wait on other teams.
+    fn guaranteed_jobs(&self) -> BTreeSet<Ix> {
+        let mut by_arrival: Vec<(u64, Ix)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.live())
+            .map(|(ix, job)| (job.accepted_ms, ix))
+            .collect();
+        by_arrival.sort_unstable();
+        let mut used = vec![Room::default(); self.teams_use.len()];
+        let mut guaranteed = BTreeSet::new();
+        for (_, ix) in by_arrival {
+            let Some(job) = self.jobs.get(ix) else {
+                continue;
+            };
+            let tasks = f64::from(job.spec.tasks - job.done.len());
+            let used = &mut used[job.team as usize];
+            used.add(Room {
+                cpus: job.shape.room.cpus * tasks,
+                gpus: job.shape.room.gpus * tasks,
+                memory_gb: 0.0,
+            });
+            let guarantee = self.teams_use[job.team as usize].guarantee;
+            if used.cpus <= guarantee.cpus + 1e-6 && used.gpus <= guarantee.gpus + 1e-6 {
+                guaranteed.insert(ix);
+            }
+        }
+        guaranteed
+    }
+
+    /// Live jobs with tasks to place: by priority, then those within their
+    /// team's guarantee, then those that can be in time, then the most urgent.
     fn placement_order(&self) -> Vec<Ix> {
+        let guaranteed = self.guaranteed_jobs();
         let mut order: Vec<_> = self
             .jobs
             .iter()
             .filter(|(_, job)| job.live() && job.waiting() > 0)
             .map(|(ix, job)| {
-                let beyond = !self.teams_use[job.team as usize].within_guarantee(job.shape.room);
+                let beyond = !guaranteed.contains(&ix);
                 // What can't be in time any more lets the others pass.
                 let missed = job.spec.deadline_s.is_some() && self.wall > job.start_by_ms;
-                (std::cmp::Reverse(job.priority()), missed, beyond, job.start_by_ms, ix)
+                (std::cmp::Reverse(job.priority()), beyond, missed, job.start_by_ms, ix)
             })
             .collect();
         order.sort_unstable();
