Raise the term only for starts of the present term; free unwritten attempts at once

Tasks not yet written are now dropped at once when stopped for others. The test starts_of_earlier_terms_need_no_higher_term fails without it.

--- a/src/main.rs
+++ b/src/main.rs
@@ -11,6 +11,9 @@
 use sumacbend::runtime::{self, Client};
 use sumacbend::settings::Settings;
 use tracing::level_filters::LevelFilter;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
 
 /// A cluster scheduler: places jobs' tasks on rented machines toward the images
 /// they need, under limits, guarantees and priorities.
@@ -104,10 +107,18 @@
 }
 
 fn serve(files: &Files) -> Result<(), Box<dyn Error>> {
-    tracing_subscriber::fmt()
-        .with_max_level(level()?)
-        .with_writer(std::io::stderr)
-        .with_ansi(false)
+    let level = level()?;
+    // The HTTP library tells of every connection that idles out.
+    let targets = Targets::new()
+        .with_default(level)
+        .with_target("poem", LevelFilter::WARN.min(level));
+    tracing_subscriber::registry()
+        .with(
+            tracing_subscriber::fmt::layer()
+                .with_writer(std::io::stderr)
+                .with_ansi(false),
+        )
+        .with(targets)
         .init();
     let (settings, policy) = load(files)?;
     runtime()?.block_on(runtime::serve(settings, policy))?;
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -3,7 +3,7 @@
 use crate::controller::Share;
 use crate::ids::Ix;
 use crate::wire::TaskState;
-use crate::workers::Room;
+use crate::workers::{Outcome, Room};
 use std::collections::BTreeMap;
 
 /// Tasks made room for in one round.
@@ -47,6 +47,13 @@
                     let Some(attempt) = self.attempts.get_mut(victim) else {
                         continue;
                     };
+                    if !attempt.written && !attempt.writing {
+                        // Nobody has heard of it yet.
+                        let room = self.jobs.get(attempt.job).map(|job| job.shape.room);
+                        self.close(now, victim, Outcome::Lost);
+                        given.add(room.unwrap_or_default());
+                        continue;
+                    }
                     attempt.stop = Some(0.0);
                     if let Some(job) = self.jobs.get(attempt.job) {
                         given.add(job.shape.room);
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -141,7 +141,9 @@
         let doubtful = in_flight || (machine.doubt > 0 && machine.doubt >= report.token);
         if answer_dead && !doubtful {
             self.close(now, ix, Outcome::Lost);
-        } else if doubtful && answer_dead {
+        } else if answer_dead && machine.doubt >= self.term {
+            // Starts of earlier terms are withdrawn already, once the worker
+            // sees ours; only one of our own term calls for a higher.
             self.withdraw = true;
         }
     }
@@ -313,6 +315,21 @@
         assert_eq!(open(&share), 0);
     }
 
+    /// Guards against raising the term again and again after a take-over, each
+    /// time at the price of a fresh start.
+    #[test]
+    fn starts_of_earlier_terms_need_no_higher_term() {
+        let (mut share, machine) = share();
+        let attempt = share.machines.get(machine).expect("there").open[0];
+        share.attempts.get_mut(attempt).expect("open").stop = Some(0.0);
+        share.machines.get_mut(machine).expect("there").doubt = 4;
+        share.merge_report(MINUTE, &report(1, 2, 4, Vec::new()));
+        assert_eq!(open(&share), 1);
+        assert!(!share.withdraw);
+        share.merge_report(MINUTE, &report(1, 3, 5, Vec::new()));
+        assert_eq!(open(&share), 0);
+    }
+
     #[test]
     fn reports_are_ordered_by_session_and_sequence() {
         let (mut share, _) = share();
