--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -47,6 +47,8 @@
     pub now: f64,
     /// Of these, what new machines would still be there for in time.
     pub lasting: f64,
+    /// The same for spot machines, which need less of a reason.
+    pub spot: f64,
     /// Samples of tasks wanted at once, over the forecast period.
     pub history: VecDeque<(Millis, f64)>,
 }
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -3,6 +3,7 @@
 use crate::controller::Share;
 use crate::ids::Ix;
 use crate::placement::Shape;
+use crate::wire::Priority;
 use crate::workers::Room;
 use std::collections::BTreeMap;
 
@@ -10,6 +11,11 @@
 /// A machine may take several times its boot time; after this much more it is
 /// taken for one that never comes up.
 const BOOT_PATIENCE: f64 = 3.0;
+/// How much of its boot time a new machine has to pay back before it is worth
+/// renting for tasks that wait now: a spot machine soon, an ordinary one later.
+const SPOT_BOOT: f64 = 0.2;
+const ORDINARY_BOOT: f64 = 0.5;
+const ORDINARY_BOOT_LOW: f64 = 1.0;
 /// Machines asked for at once by one request.
 const MAX_HIRE: u32 = 10;
 
@@ -84,7 +90,7 @@
     /// ran on average lately with some headroom, whichever is more.
     fn forecast(&mut self, now: Millis) -> Vec<Want> {
         // Tasks of each class and team: wanted at once, and worth renting for.
-        let mut team_wants: BTreeMap<(Ix, Ix), (f64, f64, f64)> = BTreeMap::new();
+        let mut team_wants: BTreeMap<(Ix, Ix), (f64, f64, f64, f64)> = BTreeMap::new();
         for (_, job) in self.jobs.iter().filter(|(_, job)| job.live()) {
             self.class_shape.entry(job.class).or_insert_with(|| job.shape.clone());
             // A job that keeps failing must not rent machines for all its tasks,
@@ -98,17 +104,22 @@
             // found room on the old ones.
             let boot_s = self.boot_s(&job.shape);
             let wanted = f64::from(waiting) + job.open.len() as f64;
-            let lasting = wanted * job.spec.estimate_s / (job.spec.estimate_s + boot_s).max(0.001);
+            let lasting = |part: f64| wanted * job.spec.estimate_s / (job.spec.estimate_s + part * boot_s).max(0.001);
             let entry = team_wants.entry((job.class, job.team)).or_default();
             entry.0 += wanted;
-            entry.1 += lasting;
-            entry.2 = job.spec.cpus;
+            entry.1 += lasting(match job.priority() {
+                Priority::Low => ORDINARY_BOOT_LOW,
+                _ => ORDINARY_BOOT,
+            });
+            entry.2 += lasting(SPOT_BOOT);
+            entry.3 = job.spec.cpus;
         }
         for demand in self.fleet.demand.values_mut() {
             demand.now = 0.0;
             demand.lasting = 0.0;
+            demand.spot = 0.0;
         }
-        for ((class, team), (wanted, lasting, cpus)) in team_wants {
+        for ((class, team), (wanted, lasting, spot, cpus)) in team_wants {
             let limit = self.teams_use[team as usize].limit.cpus;
             let most = if limit > 0.0 && cpus > 0.0 {
                 (limit / cpus).floor()
@@ -118,6 +129,7 @@
             let demand = self.fleet.demand.entry(class).or_default();
             demand.now += wanted.min(most);
             demand.lasting += lasting.min(most);
+            demand.spot += spot.min(most);
         }
         let horizon = crate::millis(self.policy.forecast_s);
         let mut wants = Vec::new();
