Give a machine up after four silent reports, sooner when it is listed no more

A machine once listed and missing from a full list goes after one late report. The age of a machine not heard yet now comes from the list, also after a take-over.

--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -163,7 +163,7 @@
                     self.cloud.list_after.clear();
                     return;
                 };
-                share.listed(now, &list.machines);
+                share.listed(now, &list.machines, !list.more);
                 match list.machines.last() {
                     Some(last) if list.more => self.cloud.list_after = last.id.clone(),
                     _ => {
--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -457,25 +457,24 @@
     }
 
     /// One page of the cloud's list. Lists lag and may go back in time, so
-    /// absence proves nothing; what is there is learned.
-    pub fn listed(&mut self, now: Millis, machines: &[ListedMachine]) {
+    /// absence proves nothing; what is there is learned. `last`: of its list.
+    pub fn listed(&mut self, now: Millis, machines: &[ListedMachine], last: bool) {
         for listed in machines {
             if self.tombstones.contains_key(&listed.id) {
                 continue;
             }
             let ix = match self.machines.find(&listed.id) {
                 Some(ix) => ix,
-                None => {
-                    let ix = self.add_machine(now, &listed.id, &listed.machine_type, &listed.zone, listed.spot);
-                    if let Some(machine) = self.machines.get_mut(ix) {
-                        machine.hired_at = now.saturating_sub(crate::millis(listed.age_s));
-                    }
-                    ix
-                }
+                None => self.add_machine(now, &listed.id, &listed.machine_type, &listed.zone, listed.spot),
             };
             let Some(machine) = self.machines.get_mut(ix) else {
                 continue;
             };
+            machine.listed = true;
+            machine.once_listed = true;
+            if machine.heard_at.is_none() {
+                machine.hired_at = now.saturating_sub(crate::millis(listed.age_s));
+            }
             if machine.address.is_none() && listed.address.is_some() {
                 machine.address = listed.address.clone();
                 machine.roster_dirty = true;
@@ -489,6 +488,12 @@
                 machine.condemned = true;
             }
         }
+        if last {
+            for (_, machine) in self.machines.iter_mut() {
+                machine.unlisted = machine.once_listed && !machine.listed;
+                machine.listed = false;
+            }
+        }
     }
 
     /// Tasks done and on machines, for display.
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -42,6 +42,7 @@
 
     fn condemn_broken(&mut self, now: Millis) {
         let silent_ms = crate::millis(self.policy.silent_reports * self.report_s * 1.25);
+        let unlisted_ms = crate::millis(self.report_s * 1.25) + 1_500;
         let heard = self.machines.iter().filter(|(_, m)| m.heard_at.is_some());
         let heard: Vec<(Ix, Millis)> = heard.map(|(ix, m)| (ix, m.heard_at.unwrap_or(0))).collect();
         let silent: Vec<Ix> = heard
@@ -66,6 +67,10 @@
             let lapsed = now > machine.answered_at + self.lapse_ms;
             let reason = if silent.contains(&ix) && (!many || lapsed) {
                 "silent"
+            } else if machine.unlisted && machine.heard_at.is_some_and(|at| now > at + unlisted_ms) {
+                // Missing from a list proves nothing, but together with a late
+                // report it is reason enough; the deletion is the proof.
+                "silent and no longer listed"
             } else if machine.heard_at.is_none()
                 && now > machine.hired_at + crate::millis(boot_s * BOOT_PATIENCE) + 10_000
                 && lapsed
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -71,7 +71,7 @@
     /// Machines kept beyond the forecast, as a share of it.
     headroom: 0.25 in 0.0..=4.0;
     /// Silence after which a machine is given up, in report intervals.
-    silent_reports: 3.0 in 2.0..=20.0;
+    silent_reports: 4.0 in 2.0..=20.0;
     /// Longest period over which demand is remembered for the forecast.
     forecast_s: 90.0 in 5.0..=3600.0;
     /// Most machines kept at once, whatever the forecast says.
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -70,6 +70,10 @@
     pub roster_dirty: bool,
     pub roster_writing: bool,
     pub hired_at: Millis,
+    /// In the cloud's list now being read; in any; missing from the last one.
+    pub listed: bool,
+    pub once_listed: bool,
+    pub unlisted: bool,
     pub session: u64,
     pub seq: u64,
     /// Highest token that its worker has been seen to hold.
@@ -159,6 +163,9 @@
             roster_dirty: true,
             roster_writing: false,
             hired_at: now,
+            listed: false,
+            once_listed: false,
+            unlisted: false,
             session: 0,
             seq: 0,
             token: 0,
