--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -319,7 +319,7 @@
     fn target(&self, headroom: f64, least: f64) -> u32 {
         let samples = (self.history.len() as f64).max(least);
         let mean = self.history.iter().map(|(_, wanted)| wanted).sum::<f64>() / samples;
-        (mean * (1.0 + headroom)).max(self.lasting).ceil() as u32
+        (mean * (1.0 + headroom)).max(self.lasting).max(self.spot).ceil() as u32
     }
 }
 
@@ -328,19 +328,16 @@
     use super::*;
 
     #[test]
-    fn the_target_covers_what_lasts_and_the_mean_with_headroom() {
+    fn the_target_covers_what_waits_and_the_mean_with_headroom() {
         let demand = Demand {
             now: 9.0,
             lasting: 3.0,
+            spot: 5.0,
             history: [(0, 8.0), (1, 12.0)].into(),
         };
         assert_eq!(demand.target(0.25, 2.0), 13);
-        assert_eq!(demand.target(0.25, 20.0), 3);
-        let demand = Demand {
-            lasting: 40.0,
-            ..demand
-        };
-        assert_eq!(demand.target(0.25, 2.0), 40);
+        // Few samples are not trusted in full.
+        assert_eq!(demand.target(0.25, 20.0), 5);
         assert_eq!(Demand::default().target(0.25, 2.0), 0);
     }
 }
