--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -136,8 +136,8 @@
         guaranteed
     }
 
-    /// Live jobs with tasks to place: by priority, then those within their
-    /// team's guarantee, then those that can be in time, then the most urgent.
+    /// Live jobs with tasks to place: those within their team's guarantee first,
+    /// then by priority, then those that can be in time, then the most urgent.
     fn placement_order(&self) -> Vec<Ix> {
         let guaranteed = self.guaranteed_jobs();
         let mut order: Vec<_> = self
@@ -148,7 +148,7 @@
                 let beyond = !guaranteed.contains(&ix);
                 // What can't be in time any more lets the others pass.
                 let missed = job.spec.deadline_s.is_some() && self.wall > job.start_by_ms;
-                (std::cmp::Reverse(job.priority()), beyond, missed, job.start_by_ms, ix)
+                (beyond, std::cmp::Reverse(job.priority()), missed, job.start_by_ms, ix)
             })
             .collect();
         order.sort_unstable();
