--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -128,3 +128,24 @@
         ],
     );
 }
+
+/// The stand-in fails on values and transactions beyond the protocol's limits,
+/// so this shows that the largest job stays within them.
+#[test]
+fn the_largest_job_is_scheduled_and_cleaned_up() {
+    let mut world = World::new(6, 1, vec![(120_000, Trouble::Crash { node: OWNER })]);
+    world.reshape(0, 100_000, Some(190_000));
+    world.run(190_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(
+        world.done_tasks.len() > 100,
+        "only {} tasks done",
+        world.done_tasks.len()
+    );
+    assert!(world.stored("kept/pool/firing/") > 0);
+    world.run(300_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert_eq!(world.jobs[0].told, Told::Cancelled);
+    assert_eq!(world.stored("kept/pool/firing/") + world.stored("live/pool/job/"), 0);
+    assert_eq!(world.stored("kept/pool/end/"), 1);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -283,6 +283,22 @@
         }
     }
 
+    /// Gives a drawn job another shape.
+    pub fn reshape(&mut self, index: usize, tasks: u32, cancel_at: Option<u64>) {
+        let job = &mut self.jobs[index];
+        job.spec.tasks = tasks;
+        job.spec.cpus = 1.0;
+        job.spec.zone = None;
+        job.spec.one_zone = false;
+        job.spec.spread = false;
+        job.cancel_at = cancel_at;
+    }
+
+    /// Keys in the state service that begin so.
+    pub fn stored(&self, prefix: &str) -> usize {
+        self.store.count(prefix)
+    }
+
     fn at(&mut self, time: u64, happening: Happening) {
         self.order += 1;
         self.heap.push(Reverse((time.max(self.now), self.order)));
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -14,6 +14,10 @@
 }
 
 impl Store {
+    pub fn count(&self, prefix: &str) -> usize {
+        self.entries.keys().filter(|key| key.starts_with(prefix)).count()
+    }
+
     pub fn expire(&mut self, now: u64) {
         let gone: Vec<u64> = self
             .leases
