--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -103,9 +103,8 @@
             return;
         }
         let mut names = Vec::new();
-        for (_, machine) in share.machines.iter_mut() {
+        for (_, machine) in share.machines.iter() {
             if machine.condemned && names.len() < MAX_DELETE {
-                machine.deleting = true;
                 names.push(machine.name.clone());
             }
         }
--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -438,7 +438,6 @@
             };
             if machine.roster_writing {
                 // Its key's version is not known yet; the deletion is repeated.
-                machine.deleting = false;
                 continue;
             }
             if machine.version > 0 {
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -56,8 +56,6 @@
     spec: Option<Result<JobSpec, Refusal>>,
     stage: Stage,
     started: Millis,
-    /// The transaction went unanswered once: it may have been applied.
-    uncertain: bool,
 }
 
 /// What intake wants done.
@@ -165,7 +163,6 @@
                 spec,
                 stage,
                 started: around.now,
-                uncertain: false,
             },
         );
         if local {
@@ -346,7 +343,6 @@
             }
             StoreReply::Conflict { .. } => {
                 // Known already, ended meanwhile, or our claim is gone: look again.
-                op.uncertain = false;
                 op.stage = Stage::Sync(self.sync_sent + 1);
                 self.sync_wanted = true;
                 Vec::new()
@@ -354,7 +350,6 @@
             StoreReply::Lost if around.now < op.started + WRITE_PATIENCE_MS => {
                 // It may have been applied. The same write again either does it
                 // or conflicts with it, and both tell.
-                op.uncertain = true;
                 let transaction = transaction.clone();
                 vec![Want::Write { op: op_id, transaction }]
             }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -89,7 +89,6 @@
     pub taken_at: Option<Millis>,
     /// Given up: no new tasks; to be deleted.
     pub condemned: bool,
-    pub deleting: bool,
     pub push: Push,
     /// Images it holds or fetches, the latest last, with their sizes.
     pub images: Vec<(Ix, f64)>,
@@ -174,7 +173,6 @@
             doubt: 0,
             taken_at: None,
             condemned: false,
-            deleting: false,
             push: Push::default(),
             images: Vec::new(),
             open: Vec::new(),
