Keep direct commands in flight by the machine's name

An index is given to another machine once its own is deleted, and a reply to the old one would have cleared the mark that starts are on their way to the new one. Found by reading; the wait for dead answers covered it so far.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -172,7 +172,8 @@
     checking_claim: bool,
 
     cloud: cloud::Calls,
-    pushes: BTreeMap<u64, (u32, u64)>,
+    /// Direct commands in flight: machine and term.
+    pushes: BTreeMap<u64, (String, u64)>,
     claimed_at: Millis,
     worker_heard_at: Millis,
     placed_at: Millis,
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -430,11 +430,12 @@
             machine.push.starts = commands
                 .iter()
                 .any(|command| matches!(command, crate::wire::Command::Start { .. }));
-            sends.push((ix, address, session, commands));
+            sends.push((machine.name.clone(), address, session, commands));
         }
-        for (ix, address, session, commands) in sends {
+        for (name, address, session, commands) in sends {
             let call = self.call();
-            self.pushes.insert(call, (ix, term));
+            // By name: the index may be another machine's by the time of the reply.
+            self.pushes.insert(call, (name, term));
             self.outputs.push(Output::Worker {
                 call,
                 address,
@@ -448,14 +449,15 @@
     }
 
     pub(super) fn worker_reply(&mut self, call: u64, reply: WorkerReply) {
-        let Some((ix, term)) = self.pushes.remove(&call) else {
+        let Some((name, term)) = self.pushes.remove(&call) else {
             return;
         };
         let now = self.now;
         let Some(share) = &mut self.share else {
             return;
         };
-        if let Some(machine) = share.machines.get_mut(ix) {
+        let known = share.machines.find(&name);
+        if let Some(machine) = known.and_then(|ix| share.machines.get_mut(ix)) {
             machine.push.in_flight = false;
             match &reply {
                 WorkerReply::Lost if machine.push.starts => machine.doubt = machine.doubt.max(term),
