Say the watch request, the end keys and a class's shape once

Preemption no longer works out the placement order when no job is short of room. No behaviour changes.

--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -2,6 +2,7 @@
 
 use super::{CloudReply, CloudRequest, Controller, Output, Purpose};
 use crate::Millis;
+use crate::fleet::HireValue;
 use crate::store::{Bucket, StoreRequest};
 use crate::wire::{Change, HireRequest, MachineNames, Transaction};
 use serde_json::json;
@@ -61,20 +62,9 @@
             self.cloud(Call::Catalogue, CloudRequest::Catalogue);
         }
         self.delete_condemned();
-        let Some(share) = &mut self.share else {
-            return;
-        };
-        let mut due = Vec::new();
-        for hire in &mut share.fleet.hires {
-            if !hire.in_flight && now >= hire.not_before && self.cloud.rate.ready(now) {
-                hire.in_flight = true;
-                self.cloud.rate.spend(1.0);
-                due.push(hire.value.clone());
-            }
-        }
-        for value in due {
-            // Spent above, where the budget was looked at.
-            self.cloud.rate.spend(-1.0);
+        while self.cloud.rate.ready(now)
+            && let Some(value) = self.next_hire()
+        {
             let request = HireRequest {
                 request: value.request.clone(),
                 machine_type: value.machine_type,
@@ -94,6 +84,17 @@
         }
     }
 
+    /// A written hire that is due, now taken to be in flight.
+    fn next_hire(&mut self) -> Option<HireValue> {
+        let now = self.now;
+        let hires = &mut self.share.as_mut()?.fleet.hires;
+        let hire = hires
+            .iter_mut()
+            .find(|hire| !hire.in_flight && now >= hire.not_before)?;
+        hire.in_flight = true;
+        Some(hire.value.clone())
+    }
+
     fn delete_condemned(&mut self) {
         let now = self.now;
         let Some(share) = &mut self.share else {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -315,14 +315,7 @@
         }
         if !self.watching && self.now >= self.watch_not_before {
             self.watching = true;
-            self.enqueue(
-                Purpose::Watch,
-                StoreRequest::Watch {
-                    prefix: self.keys.watched(),
-                    since: self.mirror.revision,
-                    wait_ms: WATCH_WAIT_MS,
-                },
-            );
+            self.enqueue(Purpose::Watch, self.watch(WATCH_WAIT_MS));
         }
         // Without other traffic, a look now and then tells whether the state
         // service can be reached, and keeps the mirror fresh.
@@ -333,14 +326,16 @@
 
     fn sync(&mut self, number: u64) {
         self.store_asked_at = self.now;
-        self.enqueue(
-            Purpose::Sync(number),
-            StoreRequest::Watch {
-                prefix: self.keys.watched(),
-                since: self.mirror.revision,
-                wait_ms: 0,
-            },
-        );
+        self.enqueue(Purpose::Sync(number), self.watch(0));
+    }
+
+    /// What has changed of the watched keys since the mirror's revision.
+    fn watch(&self, wait_ms: u64) -> StoreRequest {
+        StoreRequest::Watch {
+            prefix: self.keys.watched(),
+            since: self.mirror.revision,
+            wait_ms,
+        }
     }
 
     fn advance_ownership(&mut self) {
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -119,7 +119,7 @@
         }
         let StoreReply::Page(page) = reply else {
             let request = match part {
-                Loading::Mirror => self.catch_up(),
+                Loading::Mirror => self.watch(0),
                 _ => request.clone(),
             };
             self.queue.push_back(super::Queued {
@@ -159,7 +159,7 @@
             (_, _, Loading::Machines) => self.load(Loading::Hires, String::new()),
             // The mirror must be newer than the claim before firings are read.
             (_, _, Loading::Hires) => {
-                let request = self.catch_up();
+                let request = self.watch(0);
                 self.enqueue(Purpose::Load(Loading::Mirror), request);
             }
             (_, _, Loading::Mirror) => {}
@@ -167,14 +167,6 @@
         }
     }
 
-    fn catch_up(&self) -> StoreRequest {
-        StoreRequest::Watch {
-            prefix: self.keys.watched(),
-            since: self.mirror.revision,
-            wait_ms: 0,
-        }
-    }
-
     /// The read that brings the mirror up to date while loading came back.
     fn load_synced(&mut self, reply: &StoreReply) -> bool {
         if !self.take_log(reply.clone()) {
@@ -363,10 +355,10 @@
                 if self.check_claim_in(&failed) {
                     return;
                 }
-                let jobs = self.keys.jobs();
+                let (jobs, ends) = (self.keys.jobs(), self.keys.ends());
                 let cancelled = failed
                     .iter()
-                    .all(|key| key.starts_with(&jobs) || key.starts_with("kept/pool/end/"));
+                    .all(|key| key.starts_with(&jobs) || key.starts_with(&ends));
                 let Some(share) = &mut self.share else {
                     return;
                 };
--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -3,7 +3,7 @@
 use crate::ids::{Ix, Names, Table};
 use crate::pipeline::ledger::Ledger;
 use crate::pipeline::{ChunkValue, Door, Job, chunk_tasks, error_pause};
-use crate::placement::{Shape, TeamUse, TypeInfo};
+use crate::placement::{TeamUse, TypeInfo};
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::store::{JobKey, Keys};
@@ -40,7 +40,6 @@
     pub classes: Names,
     pub type_info: Vec<Option<TypeInfo>>,
     pub teams_use: Vec<TeamUse>,
-    pub class_shape: BTreeMap<Ix, Shape>,
 
     pub jobs: Table<Job>,
     pub attempts: Attempts,
@@ -108,7 +107,6 @@
             classes: Names::default(),
             type_info: Vec::new(),
             teams_use,
-            class_shape: BTreeMap::new(),
             jobs: Table::default(),
             attempts: Attempts::default(),
             machines: Table::default(),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::Millis;
 use crate::ids::Ix;
+use crate::placement::Shape;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -44,6 +45,7 @@
 /// What the jobs of one class ask of machines, and how many at once.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
+    pub shape: Shape,
     pub now: f64,
     /// Of these, what new machines would still be there for in time.
     pub lasting: f64,
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -43,8 +43,8 @@
     fn condemn_broken(&mut self, now: Millis) {
         let silent_ms = crate::millis(self.policy.silent_reports * self.report_s * 1.25);
         let unlisted_ms = crate::millis(self.report_s * 1.25) + 1_500;
-        let heard = self.machines.iter().filter(|(_, m)| m.heard_at.is_some());
-        let heard: Vec<(Ix, Millis)> = heard.map(|(ix, m)| (ix, m.heard_at.unwrap_or(0))).collect();
+        let heard = self.machines.iter().filter_map(|(ix, m)| Some((ix, m.heard_at?)));
+        let heard: Vec<(Ix, Millis)> = heard.collect();
         let silent: Vec<Ix> = heard
             .iter()
             .filter(|(_, at)| now > at + silent_ms)
@@ -95,9 +95,12 @@
     /// ran on average lately with some headroom, whichever is more.
     fn forecast(&mut self, now: Millis) -> Vec<Want> {
         // Tasks of each class and team: wanted at once, and worth renting for.
-        let mut team_wants: BTreeMap<(Ix, Ix), (f64, f64, f64, f64)> = BTreeMap::new();
+        let mut team_wants: BTreeMap<(Ix, Ix), (f64, f64, f64)> = BTreeMap::new();
         for (_, job) in self.jobs.iter().filter(|(_, job)| job.live()) {
-            self.class_shape.entry(job.class).or_insert_with(|| job.shape.clone());
+            self.fleet.demand.entry(job.class).or_insert_with(|| Demand {
+                shape: job.shape.clone(),
+                ..Demand::default()
+            });
             // A job that keeps failing must not rent machines for all its tasks,
             // but it is tried again, so it needs one.
             let waiting = if job.errors > 3 {
@@ -117,38 +120,36 @@
                 _ => ORDINARY_BOOT,
             });
             entry.2 += lasting(SPOT_BOOT);
-            entry.3 = job.spec.cpus;
         }
         for demand in self.fleet.demand.values_mut() {
             demand.now = 0.0;
             demand.lasting = 0.0;
             demand.spot = 0.0;
         }
-        for ((class, team), (wanted, lasting, spot, cpus)) in team_wants {
+        for ((class, team), (wanted, lasting, spot)) in team_wants {
+            let demand = self.fleet.demand.entry(class).or_default();
+            let cpus = demand.shape.room.cpus;
             let limit = self.teams_use[team as usize].limit.cpus;
             let most = if limit > 0.0 && cpus > 0.0 {
                 (limit / cpus).floor()
             } else {
                 f64::MAX
             };
-            let demand = self.fleet.demand.entry(class).or_default();
             demand.now += wanted.min(most);
             demand.lasting += lasting.min(most);
             demand.spot += spot.min(most);
         }
         let horizon = crate::millis(self.policy.forecast_s);
         let mut wants = Vec::new();
-        for (&class, demand) in &mut self.fleet.demand {
+        for demand in self.fleet.demand.values_mut() {
             demand.history.push_back((now, demand.now));
             while demand.history.front().is_some_and(|&(at, _)| at + horizon < now) {
                 demand.history.pop_front();
             }
             let samples = self.policy.forecast_s / 3.0;
             let count = demand.target(self.policy.headroom, samples);
-            if count > 0
-                && let Some(shape) = self.class_shape.get(&class)
-            {
-                let shape = shape.clone();
+            if count > 0 {
+                let shape = demand.shape.clone();
                 let firm = demand.lasting.ceil() as u32;
                 wants.push(Want { shape, count, firm });
             }
@@ -334,6 +335,7 @@
             lasting: 3.0,
             spot: 5.0,
             history: [(0, 8.0), (1, 12.0)].into(),
+            ..Demand::default()
         };
         assert_eq!(demand.target(0.25, 2.0), 13);
         // Few samples are not trusted in full.
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -13,6 +13,10 @@
     /// Stops tasks of lower priority where a task has waited for room too long.
     /// The room is taken by the next rounds of placement, which go by priority.
     pub fn preempt(&mut self, now: Millis) {
+        // Most rounds nobody is short of room.
+        if self.jobs.iter().all(|(_, job)| job.short_since.is_none()) {
+            return;
+        }
         let wait_ms = crate::millis(self.policy.preempt_wait_s);
         // Room that stops already asked for will give.
         let mut coming: BTreeMap<Ix, Room> = BTreeMap::new();
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -86,6 +86,10 @@
         format!("live/{}/job/{id}", self.share)
     }
 
+    pub fn ends(&self) -> String {
+        format!("kept/{}/end/", self.share)
+    }
+
     pub fn end(&self, id: &str) -> String {
         format!("kept/{}/end/{id}", self.share)
     }
