--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -61,7 +61,6 @@
             self.cloud.catalogue_due = now + CATALOGUE_EVERY_MS;
             self.cloud(Call::Catalogue, CloudRequest::Catalogue);
         }
-        self.delete_condemned();
         while self.cloud.rate.ready(now)
             && let Some(value) = self.next_hire()
         {
@@ -95,7 +94,7 @@
         Some(hire.value.clone())
     }
 
-    fn delete_condemned(&mut self) {
+    pub(super) fn delete_condemned(&mut self) {
         let now = self.now;
         let Some(share) = &mut self.share else {
             return;
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -2,6 +2,7 @@
 
 use super::{Controller, Loading, Output, Purpose, SHARE, Share, WorkerReply};
 use crate::Millis;
+use crate::ids::Ix;
 use crate::ownership::Phase;
 use crate::peers::Message;
 use crate::store::{StoreReply, StoreRequest, tail};
@@ -10,6 +11,10 @@
 
 const PLACE_EVERY_MS: Millis = 25;
 const PLACE_ANYWAY_MS: Millis = 400;
+/// How often all machines are looked over for what time alone has changed.
+const LOOK_OVER_EVERY_MS: Millis = 200;
+/// Direct commands in flight at once.
+const MAX_PUSHES: usize = 256;
 const COUNTS_EVERY_MS: Millis = 1_000;
 /// Raising the term costs a fresh start, so not more often than this.
 const RECLAIM_EVERY_MS: Millis = 8_000;
@@ -101,7 +106,7 @@
 
     fn load(&mut self, part: Loading, after: String) {
         let prefix = match part {
-            Loading::Machines => self.keys.machines(),
+            Loading::Machines => self.keys.rosters(),
             Loading::Hires => self.keys.hires(),
             Loading::Mirror => self.keys.watched(),
             Loading::Firings => self.keys.firings(),
@@ -135,7 +140,7 @@
         let next = page.items.last().map(|entry| entry.key.clone());
         for entry in &page.items {
             match part {
-                Loading::Machines => share.load_machine(self.now, tail(entry, &self.keys.machines()), entry),
+                Loading::Machines => share.load_group(self.now, tail(entry, &self.keys.rosters()), entry),
                 Loading::Hires => share.load_hire(entry),
                 Loading::Mirror => {}
                 Loading::Firings => {
@@ -186,10 +191,8 @@
             return;
         };
         share.loaded();
-        for (_, machine) in share.machines.iter_mut() {
-            // Asking each machine straight away spares a report interval.
-            machine.push.wanted = true;
-        }
+        // Asking each machine straight away spares a report interval.
+        share.to_push.extend(share.machines.indices());
         tracing::info!(
             term = self.ownership.term,
             jobs = share.jobs.len(),
@@ -269,24 +272,39 @@
             return;
         };
         share.wall = self.wall;
-        share.close_lapsed(self.now);
-        share.plan_fleet(self.now);
+        if self.now >= self.looked_over_at + LOOK_OVER_EVERY_MS {
+            self.looked_over_at = self.now;
+            share.close_lapsed(self.now);
+            share.drain(self.now);
+            share.plan_fleet(self.now);
+            self.delete_condemned();
+        }
+        self.place();
+        self.commit();
+        self.push_commands();
+        self.advance_cloud();
+        self.send_counts();
+    }
+
+    /// A round of placement, if one is due. What a round costs grows with the
+    /// machines and jobs that it looks at, so rounds are rarer with many.
+    fn place(&mut self) {
+        let Some(share) = &mut self.share else {
+            return;
+        };
+        self.place_wanted |= std::mem::take(&mut share.room_changed);
+        let size = share.machines.len() + share.jobs.len();
         let due = if self.place_wanted {
-            PLACE_EVERY_MS
+            PLACE_EVERY_MS + size as Millis / 20
         } else {
             PLACE_ANYWAY_MS
         };
         if self.now >= self.placed_at + due {
             self.placed_at = self.now;
             self.place_wanted = false;
-            share.drain(self.now);
             share.place(self.now);
             share.preempt(self.now);
         }
-        self.commit();
-        self.push_commands();
-        self.advance_cloud();
-        self.send_counts();
     }
 
     fn deaf(&self) -> bool {
@@ -318,10 +336,11 @@
         }
         let claim = self.ownership.condition(&self.keys);
         let max_ops = self.settings.params.state.txn_ops as usize;
+        let spare = (self.writes.level(self.now) as usize).max(1);
         let Some(share) = &mut self.share else {
             return;
         };
-        if let Some(transaction) = share.next_transaction(self.now, &self.keys, claim, max_ops) {
+        if let Some(transaction) = share.next_transaction(self.now, &self.keys, claim, max_ops, spare) {
             self.enqueue(Purpose::Commit, StoreRequest::Transact(transaction));
         }
     }
@@ -333,11 +352,7 @@
         match reply {
             StoreReply::Committed { revision } => {
                 let committed = share.committed(&self.keys, revision);
-                for ix in committed.push {
-                    if let Some(machine) = share.machines.get_mut(ix) {
-                        machine.push.wanted = true;
-                    }
-                }
+                share.to_push.extend(committed.push);
                 for (value, version) in committed.hires {
                     share.fleet.hires.push(crate::fleet::Hire {
                         value,
@@ -400,24 +415,33 @@
             return;
         };
         let mut sends = Vec::new();
-        for ix in share.machines.indices() {
-            let Some(machine) = share.machines.get(ix) else {
+        let mut room = MAX_PUSHES.saturating_sub(self.pushes.len());
+        let mut due: Vec<Ix> = share.to_push.iter().copied().collect();
+        // Those with open attempts hold up work; the others can wait.
+        due.sort_by_key(|&ix| share.machines.get(ix).is_none_or(|machine| machine.open.is_empty()));
+        for ix in due {
+            if room == 0 {
+                break;
+            }
+            let Some(machine) = share.machines.get(ix).filter(|machine| !machine.condemned) else {
+                share.to_push.remove(&ix);
                 continue;
             };
-            if !machine.push.wanted || machine.push.in_flight || now < machine.push.not_before || machine.condemned {
+            if machine.push.in_flight || now < machine.push.not_before {
                 continue;
             }
             let (Some(address), session) = (machine.address.clone(), machine.session) else {
                 continue;
             };
+            share.to_push.remove(&ix);
             let commands = share.commands(now, ix);
             let Some(machine) = share.machines.get_mut(ix) else {
                 continue;
             };
-            machine.push.wanted = false;
             if commands.is_empty() && machine.heard_at.is_some() {
                 continue;
             }
+            room -= 1;
             machine.push.in_flight = true;
             machine.push.starts = commands
                 .iter()
@@ -458,7 +482,9 @@
             if matches!(reply, WorkerReply::Lost | WorkerReply::NotSent) {
                 // It will report, or fall silent; either way there is no hurry.
                 machine.push.not_before = now + 2_000;
-                machine.push.wanted = machine.heard_at.is_none();
+                if machine.heard_at.is_none() {
+                    share.to_push.extend(known);
+                }
             }
         }
         if let WorkerReply::Done(report) | WorkerReply::Refused(report) = reply {
@@ -477,9 +503,9 @@
         match merged {
             Merged::New(ix) => {
                 self.worker_heard_at = now;
-                self.place_wanted = true;
-                if let Some(machine) = share.machines.get_mut(ix) {
-                    machine.push.wanted |= !machine.strays.is_empty() && machine.push.not_before <= now;
+                let machine = share.machines.get(ix);
+                if machine.is_some_and(|machine| !machine.strays.is_empty() && machine.push.not_before <= now) {
+                    share.to_push.insert(ix);
                 }
             }
             Merged::Outranked => {
@@ -507,8 +533,8 @@
                 let commands = share.commands(now, ix);
                 if let Some(machine) = share.machines.get_mut(ix) {
                     machine.answered_at = now;
-                    machine.push.wanted = false;
                 }
+                share.to_push.remove(&ix);
                 commands
             }
             Merged::Old => {
--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -1,5 +1,5 @@
 use crate::Millis;
-use crate::fleet::{Fleet, Hire, HireValue, RosterValue};
+use crate::fleet::{Fleet, GroupValue, Hire, HireValue, Roster};
 use crate::ids::{Ix, Names, Table};
 use crate::pipeline::ledger::Ledger;
 use crate::pipeline::{ChunkValue, Door, Job, chunk_tasks, error_pause};
@@ -9,7 +9,7 @@
 use crate::store::{JobKey, Keys};
 use crate::wire::{Catalogue, Entry, ListedMachine, MachineState, Standing, TaskState};
 use crate::workers::{Attempt, Attempts, Machine, Outcome, Room};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Machines deleted are remembered this long, since lists and reports lag.
 const TOMBSTONE_MS: Millis = 120_000;
@@ -30,7 +30,6 @@
     /// After this much time without an answer a worker has dropped its tasks.
     pub lapse_ms: Millis,
     pub chunk_tasks: u32,
-    pub machine_prefix: String,
     pub hire_prefix: String,
 
     pub team_names: Names,
@@ -47,6 +46,11 @@
     pub tombstones: BTreeMap<String, Millis>,
     pub ledger: Ledger,
     pub fleet: Fleet,
+    pub roster: Roster,
+    /// Machines that have something new to be told.
+    pub to_push: BTreeSet<Ix>,
+    /// Something happened since the last round that placement depends on.
+    pub room_changed: bool,
     /// Jobs whose keys were seen to be gone.
     pub gone: Vec<String>,
     /// Starts that may still arrive have to be withdrawn by a higher term.
@@ -98,7 +102,6 @@
             // Drift of both clocks, and a second for good measure.
             lapse_ms: crate::millis(params.workers.lease_s * 1.002) + 1_000,
             chunk_tasks: chunk_tasks(params.state.value_kb),
-            machine_prefix: keys.machines(),
             hire_prefix: keys.hires(),
             team_names,
             types: Names::default(),
@@ -113,6 +116,9 @@
             tombstones: BTreeMap::new(),
             ledger: Ledger::default(),
             fleet: Fleet::default(),
+            roster: Roster::new(params.state.value_kb),
+            to_push: BTreeSet::new(),
+            room_changed: true,
             gone: Vec::new(),
             withdraw: false,
         }
@@ -150,26 +156,36 @@
         let type_ix = self.type_ix(type_name);
         let zone = self.zones.intern(zone);
         let ix = self.machines.insert(name, Machine::new(name, type_ix, zone, spot, now));
-        self.ledger.machines.insert(ix);
+        let group = self.roster.add(self.term, ix);
+        if let Some(machine) = self.machines.get_mut(ix) {
+            machine.group = Some(group);
+        }
         ix
     }
 
     /// Takes over what the former owner left: machines first, then hires, then
     /// every written firing. Jobs come by the mirror before these.
-    pub fn load_machine(&mut self, now: Millis, name: &str, entry: &Entry) {
-        let Ok(value) = serde_json::from_value::<RosterValue>(entry.value.clone()) else {
+    pub fn load_group(&mut self, now: Millis, name: &str, entry: &Entry) {
+        let Ok(value) = serde_json::from_value::<GroupValue>(entry.value.clone()) else {
             tracing::error!(key = entry.key, "a roster key can't be read");
             return;
         };
-        let ix = self.add_machine(now, name, &value.machine_type, &value.zone, value.spot);
-        self.ledger.machines.remove(&ix);
-        let doubt = self.term.saturating_sub(1);
-        if let Some(machine) = self.machines.get_mut(ix) {
-            machine.address = value.address;
-            machine.version = entry.version;
-            machine.roster_dirty = false;
-            // A start sent under an earlier term may still be on its way.
-            machine.doubt = doubt;
+        let group_ix = self.roster.load(name, entry.version);
+        for (name, type_name, zone, spot, address) in value.machines {
+            let type_ix = self.type_ix(&type_name);
+            let zone = self.zones.intern(&zone);
+            let machine = Machine {
+                address,
+                group: Some(group_ix),
+                written: true,
+                // A start sent under an earlier term may still be on its way.
+                doubt: self.term.saturating_sub(1),
+                ..Machine::new(&name, type_ix, zone, spot, now)
+            };
+            let ix = self.machines.insert(&name, machine);
+            if let Some(group) = self.roster.groups.get_mut(group_ix) {
+                group.members.insert(ix);
+            }
         }
     }
 
@@ -199,8 +215,8 @@
             let machine_ix = match self.machines.find(&machine_name) {
                 Some(ix) => ix,
                 None => {
-                    // Its roster key is dropped only after a deletion that the
-                    // cloud confirmed, so nothing of it is left.
+                    // The roster drops it only after a deletion that the cloud
+                    // confirmed, so nothing of it is left.
                     continue;
                 }
             };
@@ -331,8 +347,8 @@
             let machine = attempt.machine;
             if !attempt.written && !attempt.writing {
                 self.close(now, attempt_ix, Outcome::Lost);
-            } else if let Some(machine) = self.machines.get_mut(machine) {
-                machine.push.wanted = true;
+            } else {
+                self.to_push.insert(machine);
             }
         }
         if self.jobs.get(ix).is_some_and(|job| job.open.is_empty()) {
@@ -359,6 +375,7 @@
         let Some(attempt) = self.attempts.remove(ix) else {
             return;
         };
+        self.room_changed = true;
         let Some(job) = self.jobs.get_mut(attempt.job) else {
             return;
         };
@@ -431,19 +448,10 @@
             for attempt in machine.open.clone() {
                 self.close(now, attempt, Outcome::Lost);
             }
-            let Some(machine) = self.machines.get_mut(ix) else {
-                continue;
-            };
-            if machine.roster_writing {
-                // Its key's version is not known yet; the deletion is repeated.
-                continue;
-            }
-            if machine.version > 0 {
-                let version = machine.version;
-                self.ledger.dropped.push_back((name.clone(), version));
+            self.to_push.remove(&ix);
+            if let Some(group) = self.machines.remove(name).and_then(|machine| machine.group) {
+                self.roster.remove(group, ix);
             }
-            self.ledger.machines.remove(&ix);
-            self.machines.remove(name);
             self.tombstones.insert(name.clone(), now);
             // The index may be given to another machine.
             for (_, job) in self.jobs.iter_mut() {
@@ -474,11 +482,10 @@
             }
             if machine.address.is_none() && listed.address.is_some() {
                 machine.address = listed.address.clone();
-                machine.roster_dirty = true;
-                self.ledger.machines.insert(ix);
+                self.roster.late.extend(machine.group);
             }
             if listed.state == MachineState::Running && machine.heard_at.is_none() {
-                machine.push.wanted = true;
+                self.to_push.insert(ix);
             }
             if listed.state == MachineState::Failed && !machine.condemned {
                 tracing::info!(machine = machine.name, "a machine has failed");
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,6 +2,9 @@
 //! which machines are past use.
 
 mod plan;
+mod roster;
+
+pub use roster::{Group, GroupValue, Member, Roster};
 
 use crate::Millis;
 use crate::ids::Ix;
@@ -9,16 +12,6 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
-/// A machine's roster key: what a successor must know of it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RosterValue {
-    pub machine_type: String,
-    pub zone: String,
-    pub spot: bool,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub address: Option<String>,
-}
-
 /// A hire's key, written before the cloud is asked, so that a successor can
 /// repeat the same request and learn what came of it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -5,7 +5,7 @@
 use crate::placement::Shape;
 use crate::wire::Priority;
 use crate::workers::Room;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const PLAN_EVERY_MS: Millis = 1_000;
 /// A machine may take several times its boot time; after this much more it is
@@ -16,8 +16,11 @@
 const SPOT_BOOT: f64 = 0.2;
 const ORDINARY_BOOT: f64 = 0.5;
 const ORDINARY_BOOT_LOW: f64 = 1.0;
-/// Machines asked for at once by one request.
-const MAX_HIRE: u32 = 10;
+/// Machines asked for at once by one request: the most that the cloud takes.
+const MAX_HIRE: u32 = 50;
+/// Unanswered requests for one offer. More would only queue for the cloud's
+/// rate, and all but the first be in vain where there is no capacity.
+const MAX_OPEN_HIRES: u32 = 2;
 
 /// A number of like tasks wanted at once.
 struct Want {
@@ -28,6 +31,15 @@
     firm: u32,
 }
 
+/// A machine there is or, without an index, one asked for.
+struct Place {
+    machine: Option<Ix>,
+    offer: Offer,
+    idle: bool,
+    room: Room,
+    used: bool,
+}
+
 impl Share {
     /// Looks over the machines and the forecast; hires and condemns.
     pub fn plan_fleet(&mut self, now: Millis) {
@@ -45,7 +57,7 @@
         let unlisted_ms = crate::millis(self.report_s * 1.25) + 1_500;
         let heard = self.machines.iter().filter_map(|(ix, m)| Some((ix, m.heard_at?)));
         let heard: Vec<(Ix, Millis)> = heard.collect();
-        let silent: Vec<Ix> = heard
+        let silent: BTreeSet<Ix> = heard
             .iter()
             .filter(|(_, at)| now > at + silent_ms)
             .map(|(ix, _)| *ix)
@@ -174,80 +186,120 @@
     /// Packs the forecast into the machines there are and on their way; hires
     /// for what is left over and returns what stays unused.
     fn fit(&mut self, now: Millis, wants: Vec<Want>) {
-        let mut free: Vec<(Ix, bool, Room)> = Vec::new();
-        for (ix, machine) in self.machines.iter() {
-            if machine.condemned || machine.taken_at.is_some() {
-                continue;
-            }
-            if let Some(info) = &self.type_info[machine.type_ix as usize] {
-                free.push((ix, false, info.room));
-            }
+        let mut places = self.places();
+        let mut in_zone = vec![0u32; self.zones.len()];
+        for place in &places {
+            in_zone[place.offer.1 as usize] += 1;
         }
-        // Small and busy ones are filled first, idle and dear ones last.
-        let machines = &self.machines;
-        free.sort_by(|(a, _, room_a), (b, _, room_b)| {
-            let key = |ix: Ix| {
-                machines
-                    .get(ix)
-                    .map(|m| (m.open.is_empty(), !m.spot))
-                    .unwrap_or((true, true))
-            };
-            room_a.cpus.total_cmp(&room_b.cpus).then(key(*a).cmp(&key(*b)))
-        });
-        let coming: u32 = self.fleet.hires.iter().map(|hire| hire.value.count).sum::<u32>()
-            + self.ledger.hires.iter().map(|hire| hire.count).sum::<u32>();
         let mut new_machines: BTreeMap<Offer, u32> = BTreeMap::new();
         for want in wants {
             let mut left = want.count;
-            for (ix, used, room) in &mut free {
+            for place in &mut places {
                 if left == 0 {
                     break;
                 }
-                let machine = self.machines.get(*ix);
-                if !machine.is_some_and(|m| want.shape.allows(m.type_ix, m.zone, m.spot)) {
+                let (type_ix, zone, spot) = place.offer;
+                if !want.shape.allows(type_ix, zone, spot) {
                     continue;
                 }
                 // Headroom is not worth an ordinary machine.
-                let most = if machine.is_some_and(|m| m.spot) || !want.shape.spot {
+                let most = if spot || !want.shape.spot {
                     left
                 } else {
                     left.saturating_sub(want.count.saturating_sub(want.firm))
                 };
-                let fits = room.count(want.shape.room).min(most);
+                let fits = place.room.count(want.shape.room).min(most);
                 for _ in 0..fits {
-                    room.take(want.shape.room);
+                    place.room.take(want.shape.room);
                 }
-                *used |= fits > 0;
+                place.used |= fits > 0;
                 left -= fits;
             }
-            // Nothing new is rented while the last requests are unanswered:
-            // what they bring is not counted yet.
-            while left > 0 && coming == 0 {
+            while left > 0 {
                 let ordinary = want.count - left < want.firm;
-                let Some((offer, fits)) = self.best_offer(now, &want, left, ordinary, &new_machines) else {
+                let Some((offer, fits)) = self.best_offer(now, &want, left, ordinary, &in_zone) else {
                     break;
                 };
                 *new_machines.entry(offer).or_default() += 1;
+                in_zone[offer.1 as usize] += 1;
                 left = left.saturating_sub(fits);
             }
         }
-        let mut total = self.machines.len() as u32;
+        let mut total = places.len() as u32;
         for (offer, count) in new_machines {
             let most = (self.policy.max_machines as u32).saturating_sub(total);
-            let count = count.min(MAX_HIRE).min(most);
-            if count > 0 {
-                total += count;
+            let mut left = count.min(most);
+            let mut open = self.open_hires(offer);
+            while left > 0 && open < MAX_OPEN_HIRES {
+                let count = left.min(MAX_HIRE);
                 self.hire(offer, count);
+                total += count;
+                left -= count;
+                open += 1;
             }
         }
+        self.return_idle(now, &places);
+    }
+
+    /// The machines there are and those asked for. Small and busy ones come
+    /// first and so are filled first, idle and dear ones last.
+    fn places(&self) -> Vec<Place> {
+        let mut places = Vec::with_capacity(self.machines.len());
+        for (ix, machine) in self.machines.iter() {
+            if machine.condemned || machine.taken_at.is_some() {
+                continue;
+            }
+            if let Some(info) = &self.type_info[machine.type_ix as usize] {
+                places.push(Place {
+                    machine: Some(ix),
+                    offer: (machine.type_ix, machine.zone, machine.spot),
+                    idle: machine.open.is_empty(),
+                    room: info.room,
+                    used: false,
+                });
+            }
+        }
+        let asked = self.fleet.hires.iter().map(|hire| &hire.value);
+        for hire in asked.chain(&self.ledger.hires) {
+            let (Some(type_ix), Some(zone)) = (self.types.get(&hire.machine_type), self.zones.get(&hire.zone)) else {
+                continue;
+            };
+            if let Some(info) = &self.type_info[type_ix as usize] {
+                places.extend((0..hire.count).map(|_| Place {
+                    machine: None,
+                    offer: (type_ix, zone, hire.spot),
+                    idle: true,
+                    room: info.room,
+                    used: false,
+                }));
+            }
+        }
+        places.sort_by(|a, b| {
+            let rest = (a.idle, !a.offer.2).cmp(&(b.idle, !b.offer.2));
+            a.room.cpus.total_cmp(&b.room.cpus).then(rest)
+        });
+        places
+    }
+
+    fn open_hires(&self, (type_ix, zone, spot): Offer) -> u32 {
+        let asked = self.fleet.hires.iter().map(|hire| &hire.value);
+        let same = asked.chain(&self.ledger.hires).filter(|hire| {
+            hire.spot == spot
+                && self.types.get(&hire.machine_type) == Some(type_ix)
+                && self.zones.get(&hire.zone) == Some(zone)
+        });
+        same.count() as u32
+    }
+
+    fn return_idle(&mut self, now: Millis, places: &[Place]) {
         let idle_ms = crate::millis(self.policy.idle_return_s);
-        for (ix, used, _) in free {
-            let Some(machine) = self.machines.get_mut(ix) else {
+        for place in places.iter().filter(|place| !place.used) {
+            let Some(machine) = place.machine.and_then(|ix| self.machines.get_mut(ix)) else {
                 continue;
             };
             let up = machine.heard_at.is_some();
             let idle_ms = if machine.spot { idle_ms } else { idle_ms / 3 };
-            if !used && up && machine.open.is_empty() && now > machine.idle_since + idle_ms {
+            if up && machine.open.is_empty() && now > machine.idle_since + idle_ms {
                 tracing::info!(machine = machine.name, "returning an idle machine");
                 machine.condemned = true;
             }
@@ -255,14 +307,7 @@
     }
 
     /// The cheapest way to rent room for the wanted tasks.
-    fn best_offer(
-        &self,
-        now: Millis,
-        want: &Want,
-        left: u32,
-        ordinary: bool,
-        planned: &BTreeMap<Offer, u32>,
-    ) -> Option<(Offer, u32)> {
+    fn best_offer(&self, now: Millis, want: &Want, left: u32, ordinary: bool, in_zone: &[u32]) -> Option<(Offer, u32)> {
         let mut best: Option<((f64, u32), Offer, u32)> = None;
         for (type_ix, info) in self.type_info.iter().enumerate() {
             let Some(info) = info else {
@@ -289,9 +334,7 @@
                         continue;
                     }
                     let cost = price / f64::from(fits.min(left));
-                    let there = planned.get(&offer).copied().unwrap_or(0)
-                        + self.machines.iter().filter(|(_, m)| m.zone == zone).count() as u32;
-                    let rank = (cost, there);
+                    let rank = (cost, in_zone[zone as usize]);
                     if best.is_none_or(|(other, ..)| rank.0.total_cmp(&other.0).then(rank.1.cmp(&other.1)).is_lt()) {
                         best = Some((rank, offer, fits));
                     }
--- /dev/null
+++ b/src/fleet/roster.rs
@@ -0,0 +1,128 @@
+//! What a successor must know of the machines: many to a key, since a fleet is
+//! rented far faster than single keys may be written.
+
+use crate::ids::{Ix, Table};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// A machine in its group's key: name, type, zone, spot, address.
+pub type Member = (String, String, String, bool, Option<String>);
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GroupValue {
+    pub machines: Vec<Member>,
+}
+
+/// Machines written under one key.
+#[derive(Debug, Default)]
+pub struct Group {
+    pub name: String,
+    /// Version of its key; 0 while there is none.
+    pub version: u64,
+    pub members: BTreeSet<Ix>,
+}
+
+#[derive(Debug, Default)]
+pub struct Roster {
+    pub groups: Table<Group>,
+    /// Members a key holds at most.
+    capacity: usize,
+    filling: Option<Ix>,
+    next: u32,
+    /// Groups with machines that can't be used until they are written.
+    pub urgent: BTreeSet<Ix>,
+    /// Groups whose key only says too much, or lacks an address.
+    pub late: BTreeSet<Ix>,
+}
+
+impl Roster {
+    pub fn new(value_kb: f64) -> Roster {
+        Roster {
+            // Well within a value, however long the names are in practice.
+            capacity: ((value_kb * 1024.0 * 0.8 / 160.0) as usize).clamp(1, 64),
+            ..Roster::default()
+        }
+    }
+
+    /// Puts a machine into a group that has room, under `term`'s own names.
+    pub fn add(&mut self, term: u64, machine: Ix) -> Ix {
+        let roomy = self.filling.filter(|&ix| {
+            let group = self.groups.get(ix);
+            group.is_some_and(|group| group.members.len() < self.capacity)
+        });
+        let ix = roomy.unwrap_or_else(|| {
+            let name = format!("{term}-{}", self.next);
+            self.next += 1;
+            self.load(&name, 0)
+        });
+        self.filling = Some(ix);
+        if let Some(group) = self.groups.get_mut(ix) {
+            group.members.insert(machine);
+        }
+        self.urgent.insert(ix);
+        ix
+    }
+
+    /// A group as its key has it, still without members.
+    pub fn load(&mut self, name: &str, version: u64) -> Ix {
+        let group = Group {
+            name: name.into(),
+            version,
+            members: BTreeSet::new(),
+        };
+        self.groups.insert(name, group)
+    }
+
+    pub fn remove(&mut self, group: Ix, machine: Ix) {
+        if let Some(members) = self.groups.get_mut(group).map(|group| &mut group.members) {
+            members.remove(&machine);
+            self.late.insert(group);
+        }
+    }
+
+    /// Its key is gone: nothing is left of the group.
+    pub fn forget(&mut self, ix: Ix) {
+        if let Some(name) = self.groups.get(ix).map(|group| group.name.clone()) {
+            self.groups.remove(&name);
+        }
+        if self.filling == Some(ix) {
+            self.filling = None;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn every_machine_is_in_one_group_within_its_capacity(
+            ops in proptest::collection::vec((any::<bool>(), 0u32..40), 0..300)
+        ) {
+            let mut roster = Roster::new(1.0);
+            let mut placed = std::collections::BTreeMap::new();
+            for (add, machine) in ops {
+                match placed.get(&machine) {
+                    None if add => {
+                        placed.insert(machine, roster.add(3, machine));
+                    }
+                    Some(&group) if !add => {
+                        roster.remove(group, machine);
+                        placed.remove(&machine);
+                    }
+                    _ => {}
+                }
+                for (ix, group) in roster.groups.iter() {
+                    prop_assert!(group.members.len() <= 5);
+                    for member in &group.members {
+                        prop_assert_eq!(placed.get(member), Some(&ix));
+                    }
+                }
+                let members: usize = roster.groups.iter().map(|(_, group)| group.members.len()).sum();
+                prop_assert_eq!(members, placed.len());
+            }
+        }
+    }
+}
--- a/src/pipeline/ledger.rs
+++ b/src/pipeline/ledger.rs
@@ -7,7 +7,7 @@
 use super::{ChunkValue, OpenRecord};
 use crate::Millis;
 use crate::controller::Share;
-use crate::fleet::{HireValue, RosterValue};
+use crate::fleet::{GroupValue, HireValue, Member};
 use crate::ids::Ix;
 use crate::store::Keys;
 use crate::wire::{Change, Condition, Standing, Transaction};
@@ -19,14 +19,14 @@
 
 #[derive(Debug, Default)]
 pub struct Ledger {
+    /// Chunks with attempts that start once they are written.
+    pub starts: BTreeSet<(Ix, u32)>,
+    /// Chunks in which something else has changed.
     pub chunks: BTreeSet<(Ix, u32)>,
     /// Jobs whose last task is done.
     pub finished: BTreeSet<Ix>,
     /// Ended jobs none of whose attempts is open: their keys can go.
     pub cleanups: BTreeSet<Ix>,
-    pub machines: BTreeSet<Ix>,
-    /// Roster keys to drop, with their versions.
-    pub dropped: VecDeque<(String, u64)>,
     pub hires: VecDeque<HireValue>,
     /// Hire keys answered for: request and version.
     pub settled: VecDeque<(String, u64)>,
@@ -43,7 +43,8 @@
     chunks: Vec<(Ix, u32)>,
     finished: Vec<Ix>,
     cleanups: Vec<(Ix, bool)>,
-    machines: Vec<Ix>,
+    /// Roster groups, and the machines that they name.
+    groups: Vec<(Ix, Vec<String>)>,
     hires: Vec<HireValue>,
 }
 
@@ -58,6 +59,13 @@
     pub done: Vec<String>,
 }
 
+impl Ledger {
+    fn drafted(&mut self, job: Ix, chunk: u32) {
+        self.starts.remove(&(job, chunk));
+        self.chunks.remove(&(job, chunk));
+    }
+}
+
 struct Draft {
     transaction: Transaction,
     bytes: usize,
@@ -83,13 +91,15 @@
 
 impl Share {
     /// Builds the next transaction, if there is anything to write and none is
-    /// in flight.
+    /// in flight. What nobody waits for gets no more than `spare` changes, so
+    /// that it never delays the next starts.
     pub fn next_transaction(
         &mut self,
         now: Millis,
         keys: &Keys,
         claim: Condition,
         max_ops: usize,
+        spare: usize,
     ) -> Option<Transaction> {
         if self.ledger.in_flight.is_some() {
             return None;
@@ -108,9 +118,14 @@
             ..InFlight::default()
         };
         self.draft_finished(keys, &mut draft, &mut flight);
-        self.draft_machines(keys, &mut draft, &mut flight);
+        self.draft_roster(keys, false, &mut draft, &mut flight);
         self.draft_hires(keys, &mut draft, &mut flight);
-        self.draft_chunks(keys, &mut draft, &mut flight);
+        let starts = self.ledger.starts.clone();
+        self.draft_chunks(keys, starts, &mut draft, &mut flight);
+        draft.ops = max_ops.min(spare.max(draft.transaction.changes.len()));
+        let chunks = self.ledger.chunks.clone();
+        self.draft_chunks(keys, chunks, &mut draft, &mut flight);
+        self.draft_roster(keys, true, &mut draft, &mut flight);
         self.draft_cleanups(keys, &mut draft, &mut flight);
         if draft.transaction.changes.is_empty() {
             return None;
@@ -153,35 +168,51 @@
         }
     }
 
-    fn draft_machines(&mut self, keys: &Keys, draft: &mut Draft, flight: &mut InFlight) {
-        for ix in self.ledger.machines.clone() {
-            if !draft.room(1, 200) {
-                return;
-            }
-            self.ledger.machines.remove(&ix);
-            let Some(machine) = self.machines.get_mut(ix) else {
+    /// Roster groups: `late` ones as well, or only those that machines wait for.
+    fn draft_roster(&mut self, keys: &Keys, late: bool, draft: &mut Draft, flight: &mut InFlight) {
+        let mut due: BTreeSet<Ix> = self.roster.urgent.clone();
+        if late {
+            due.extend(&self.roster.late);
+        }
+        for ix in due {
+            let Some(group) = self.roster.groups.get(ix) else {
+                self.roster.urgent.remove(&ix);
+                self.roster.late.remove(&ix);
                 continue;
             };
-            machine.roster_dirty = false;
-            machine.roster_writing = true;
-            let key = keys.machine(&machine.name);
-            draft.require(key.clone(), machine.version);
-            let value = RosterValue {
-                machine_type: self.types.name(machine.type_ix).into(),
-                zone: self.zones.name(machine.zone).into(),
-                spot: machine.spot,
-                address: machine.address.clone(),
-            };
-            draft.change(Change::put(key, json!(value)), 200);
-            flight.machines.push(ix);
-        }
-        while let Some((name, version)) = self.ledger.dropped.front().cloned() {
-            if !draft.room(1, 100) {
+            let bytes = 100 + group.members.len() * 120;
+            if !draft.room(1, bytes) {
                 return;
             }
-            self.ledger.dropped.pop_front();
-            draft.require(keys.machine(&name), version);
-            draft.change(Change::delete(keys.machine(&name)), 100);
+            self.roster.urgent.remove(&ix);
+            self.roster.late.remove(&ix);
+            if group.members.is_empty() && group.version == 0 {
+                self.roster.forget(ix);
+                continue;
+            }
+            let key = keys.roster(&group.name);
+            draft.require(key.clone(), group.version);
+            let members = group.members.iter().filter_map(|&member| self.machines.get(member));
+            let machines: Vec<Member> = members
+                .map(|machine| {
+                    let type_name = self.types.name(machine.type_ix).to_owned();
+                    let zone = self.zones.name(machine.zone).to_owned();
+                    (
+                        machine.name.clone(),
+                        type_name,
+                        zone,
+                        machine.spot,
+                        machine.address.clone(),
+                    )
+                })
+                .collect();
+            let names = machines.iter().map(|machine| machine.0.clone()).collect();
+            if machines.is_empty() {
+                draft.change(Change::delete(key), 100);
+            } else {
+                draft.change(Change::put(key, json!(GroupValue { machines })), bytes);
+            }
+            flight.groups.push((ix, names));
         }
     }
 
@@ -196,7 +227,7 @@
             flight.hires.push(hire);
         }
         // A hire's key goes only after the machines it brought are written.
-        while self.ledger.machines.is_empty() && draft.room(1, 100) {
+        while self.roster.urgent.is_empty() && draft.room(1, 100) {
             let Some((request, version)) = self.ledger.settled.pop_front() else {
                 break;
             };
@@ -205,16 +236,16 @@
         }
     }
 
-    fn draft_chunks(&mut self, keys: &Keys, draft: &mut Draft, flight: &mut InFlight) {
-        for (ix, number) in self.ledger.chunks.clone() {
+    fn draft_chunks(&mut self, keys: &Keys, due: BTreeSet<(Ix, u32)>, draft: &mut Draft, flight: &mut InFlight) {
+        for (ix, number) in due {
             let Some(job) = self.jobs.get_mut(ix) else {
-                self.ledger.chunks.remove(&(ix, number));
+                self.ledger.drafted(ix, number);
                 continue;
             };
             if job.ended.is_some() || job.complete() {
                 // Its end says all that needs to be said; the chunk only has
                 // to know that nothing is left unwritten.
-                self.ledger.chunks.remove(&(ix, number));
+                self.ledger.drafted(ix, number);
                 job.chunks[number as usize].dirty = false;
                 continue;
             }
@@ -236,7 +267,7 @@
             if !draft.room(1, bytes) && !draft.transaction.changes.is_empty() {
                 return;
             }
-            self.ledger.chunks.remove(&(ix, number));
+            self.ledger.drafted(ix, number);
             for attempt in job.open.range(range).map(|(_, &attempt)| attempt) {
                 if let Some(attempt) = self.attempts.get_mut(attempt)
                     && !attempt.written
@@ -351,12 +382,18 @@
                 self.ledger.cleanups.insert(ix);
             }
         }
-        for ix in flight.machines {
-            if let Some(machine) = self.machines.get_mut(ix) {
-                machine.version = revision;
-                machine.roster_writing = false;
-                if machine.roster_dirty {
-                    self.ledger.machines.insert(ix);
+        for (ix, names) in flight.groups {
+            if names.is_empty() {
+                self.group_dropped(ix);
+                continue;
+            }
+            if let Some(group) = self.roster.groups.get_mut(ix) {
+                group.version = revision;
+            }
+            // By name: an index may be another machine's by now.
+            for name in names {
+                if let Some(machine) = self.machines.find(&name).and_then(|ix| self.machines.get_mut(ix)) {
+                    machine.written = true;
                 }
             }
         }
@@ -364,6 +401,14 @@
         result
     }
 
+    /// A group's key is deleted. Machines may have joined it meanwhile.
+    fn group_dropped(&mut self, ix: Ix) {
+        match self.roster.groups.get_mut(ix) {
+            Some(group) if !group.members.is_empty() => group.version = 0,
+            _ => self.roster.forget(ix),
+        }
+    }
+
     /// The transaction in flight was surely not applied: everything in it has
     /// to be considered again.
     pub fn not_applied(&mut self) {
@@ -380,20 +425,14 @@
                         attempt.writing = false;
                     }
                 }
-                self.ledger.chunks.insert((ix, number));
+                self.ledger.starts.insert((ix, number));
             }
         }
         self.ledger.finished.extend(flight.finished);
         self.ledger.cleanups.extend(flight.cleanups.iter().map(|(ix, _)| *ix));
-        for ix in flight.machines {
-            if let Some(machine) = self.machines.get_mut(ix) {
-                machine.roster_writing = false;
-                machine.roster_dirty = true;
-                self.ledger.machines.insert(ix);
-            }
-        }
+        self.roster.urgent.extend(flight.groups.iter().map(|(ix, _)| *ix));
         self.ledger.hires.extend(flight.hires);
-        // Plain deletions of roster and hire keys carry their own versions.
+        // Plain deletions of hire keys carry their own versions.
         let versions: BTreeMap<&str, u64> = flight
             .transaction
             .conditions
@@ -405,9 +444,7 @@
                 continue;
             };
             let version = versions.get(delete.as_str()).copied().unwrap_or(0);
-            if let Some(name) = delete.strip_prefix(&self.machine_prefix) {
-                self.ledger.dropped.push_back((name.into(), version));
-            } else if let Some(request) = delete.strip_prefix(&self.hire_prefix) {
+            if let Some(request) = delete.strip_prefix(&self.hire_prefix) {
                 self.ledger.settled.push_back((request.into(), version));
             }
         }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Which released task goes where: team limits and order, then one batch by
 //! Algorithm 1 toward the machines that hold the tasks' images.
 
+mod board;
 mod preempt;
 
 use crate::Millis;
@@ -8,6 +9,7 @@
 use crate::ids::Ix;
 use crate::pipeline::Job;
 use crate::workers::{Attempt, Machine, Room};
+use board::Board;
 use std::collections::BTreeSet;
 
 /// Attempts planned in one round, so that a round stays short.
@@ -60,7 +62,8 @@
 
 #[derive(Debug, PartialEq)]
 enum Choice {
-    Place(Ix),
+    /// At this place of the board.
+    Place(usize),
     /// The best machine is full for now and worth a short wait.
     Wait,
     NoRoom,
@@ -70,6 +73,7 @@
     /// Plans attempts for released tasks. They start once they are written.
     pub fn place(&mut self, now: Millis) {
         let mut planned = 0;
+        let mut board = Board::new(self, now);
         for ix in self.placement_order() {
             loop {
                 if planned >= ROUND {
@@ -82,15 +86,16 @@
                     break;
                 };
                 let room = job.shape.room;
-                let team = job.team;
+                let (team, job_image) = (job.team, job.image);
                 if !self.teams_use[team as usize].may_add(room) {
                     break;
                 }
-                let choice = self.choose(now, ix);
+                let choice = self.choose(now, ix, &mut board);
                 self.note_short(now, ix, &choice);
                 match choice {
-                    Choice::Place(machine) => {
-                        self.open_attempt(ix, task, machine);
+                    Choice::Place(slot) => {
+                        board.note_image(slot, job_image);
+                        self.open_attempt(ix, task, board.take(slot, room));
                         planned += 1;
                     }
                     Choice::Wait => {
@@ -155,52 +160,36 @@
         order.into_iter().map(|(.., ix)| ix).collect()
     }
 
-    fn choose(&self, now: Millis, ix: Ix) -> Choice {
+    fn choose(&self, now: Millis, ix: Ix, board: &mut Board) -> Choice {
         let Some(job) = self.jobs.get(ix) else {
             return Choice::NoRoom;
         };
-        let room = job.shape.room;
+        if board.is_full_for(&job.shape) {
+            return Choice::NoRoom;
+        }
         let zones = self.zones_open_to(job);
-        let mut best: Option<((bool, bool, f64, f64), Ix)> = None;
-        let mut holder_full = false;
-        for (machine_ix, machine) in self.machines.iter() {
-            if !machine.usable(now) || !allows(job, machine, &zones) || job.failed_on.contains(&machine_ix) {
-                continue;
-            }
-            let Some(info) = &self.type_info[machine.type_ix as usize] else {
-                continue;
-            };
-            let free = info.room.less(machine.used);
-            let holds = machine.holds(job.image);
-            if !free.fits(room) {
-                holder_full |= holds;
-                continue;
-            }
-            // Most of the input first; then cheap machines, the smallest type
-            // and the fullest machine, so that others fall idle and go back.
-            let score = (holds, machine.spot, -info.room.cpus, -free.cpus);
-            if best.is_none_or(|(other, _)| score > other) {
-                best = Some((score, machine_ix));
+        let search = board.search(self, job, &zones);
+        let Some(best) = search.best else {
+            // Other jobs of this shape need not look, unless it was only this
+            // one that could not use what there is.
+            if zones.is_none() && job.failed_on.is_empty() {
+                board.note_full(&job.shape);
             }
+            return Choice::NoRoom;
+        };
+        if search.best_holds || !search.holder_full {
+            return Choice::Place(best);
         }
-        match best {
-            None => Choice::NoRoom,
-            Some(((true, ..), machine)) => Choice::Place(machine),
-            Some((_, machine)) => {
-                let fetch_s = self
-                    .machines
-                    .get(machine)
-                    .and_then(|machine| self.type_info[machine.type_ix as usize].as_ref())
-                    .map_or(0.0, |info| job.spec.image_gb / info.fetch_gb_per_s.max(0.001));
-                // Waiting longer than the fetch that it saves gains nothing.
-                let patience = crate::millis(self.policy.locality_wait_s.min(fetch_s));
-                let waited = job.waiting_since.map_or(0, |since| now.saturating_sub(since));
-                if holder_full && waited < patience {
-                    Choice::Wait
-                } else {
-                    Choice::Place(machine)
-                }
-            }
+        let fetch_s = self.type_info[board.type_of(best) as usize]
+            .as_ref()
+            .map_or(0.0, |info| job.spec.image_gb / info.fetch_gb_per_s.max(0.001));
+        // Waiting longer than the fetch that it saves gains nothing.
+        let patience = crate::millis(self.policy.locality_wait_s.min(fetch_s));
+        let waited = job.waiting_since.map_or(0, |since| now.saturating_sub(since));
+        if waited < patience {
+            Choice::Wait
+        } else {
+            Choice::Place(best)
         }
     }
 
@@ -262,7 +251,7 @@
         let ix = self.attempts.insert(attempt);
         machine.open.push(ix);
         job.open.insert(task, ix);
-        self.ledger.chunks.insert((job_ix, number as u32));
+        self.ledger.starts.insert((job_ix, number as u32));
     }
 }
 
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -1,8 +1,8 @@
-use super::Choice;
+use super::{Choice, Shape};
 use crate::Millis;
 use crate::controller::Share;
 use crate::ids::Ix;
-use crate::wire::TaskState;
+use crate::wire::{Priority, TaskState};
 use crate::workers::{Outcome, Room};
 use std::collections::BTreeMap;
 
@@ -26,6 +26,8 @@
             }
         }
         let mut stopped = 0;
+        // Shapes and priorities for which there is nobody to stop.
+        let mut hopeless: Vec<(Shape, Priority)> = Vec::new();
         for job_ix in self.placement_order() {
             let Some(job) = self.jobs.get(job_ix) else {
                 continue;
@@ -36,13 +38,21 @@
             if now < short_since + wait_ms {
                 continue;
             }
-            let room = job.shape.room;
+            let (shape, priority) = (job.shape.clone(), job.priority());
+            if hopeless.iter().any(|(other, at)| *at >= priority && *other == shape) {
+                continue;
+            }
+            let bound = job.spec.one_zone || job.spec.spread;
+            let room = shape.room;
             let mut team = self.teams_use[job.team as usize];
             for _ in 0..job.waiting() {
                 if stopped >= ROUND || !team.may_add(room) {
                     break;
                 }
                 let Some((machine, victims)) = self.cheapest_room(now, job_ix, &coming) else {
+                    if !bound {
+                        hopeless.push((shape, priority));
+                    }
                     break;
                 };
                 team.used.add(room);
@@ -67,9 +77,7 @@
                 given.cpus -= room.cpus;
                 given.gpus -= room.gpus;
                 given.memory_gb -= room.memory_gb;
-                if let Some(machine) = self.machines.get_mut(machine) {
-                    machine.push.wanted = true;
-                }
+                self.to_push.insert(machine);
             }
         }
     }
--- a/src/store/budget.rs
+++ b/src/store/budget.rs
@@ -35,6 +35,12 @@
         self.level > 0.0
     }
 
+    /// What may be spent now without going into debt.
+    pub fn level(&mut self, now: Millis) -> f64 {
+        self.fill(now);
+        self.level.max(0.0)
+    }
+
     pub fn spend(&mut self, amount: f64) {
         self.level -= amount;
     }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -102,12 +102,12 @@
         format!("kept/{}/firing/{id}/{chunk}", self.share)
     }
 
-    pub fn machines(&self) -> String {
-        format!("kept/{}/machine/", self.share)
+    pub fn rosters(&self) -> String {
+        format!("kept/{}/roster/", self.share)
     }
 
-    pub fn machine(&self, id: &str) -> String {
-        format!("kept/{}/machine/{id}", self.share)
+    pub fn roster(&self, group: &str) -> String {
+        format!("kept/{}/roster/{group}", self.share)
     }
 
     pub fn hires(&self) -> String {
--- a/src/workers/drain.rs
+++ b/src/workers/drain.rs
@@ -46,8 +46,8 @@
                 attempt.stop = Some(grace_s);
                 stopped = true;
             }
-            if stopped && let Some(machine) = self.machines.get_mut(ix) {
-                machine.push.wanted = true;
+            if stopped {
+                self.to_push.insert(ix);
             }
         }
     }
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -44,16 +44,14 @@
         let new_session = report.session > machine.session;
         if machine.address.as_deref() != Some(report.address.as_str()) {
             machine.address = Some(report.address.clone());
-            machine.roster_dirty = true;
-        }
-        if machine.roster_dirty {
-            self.ledger.machines.insert(ix);
+            self.roster.late.extend(machine.group);
         }
         machine.session = report.session;
         machine.seq = report.seq;
         machine.token = machine.token.max(report.token);
         if machine.heard_at.is_none() {
             machine.idle_since = now;
+            self.room_changed = true;
         }
         machine.heard_at = Some(now);
         machine.taken_at = report.notice_s.map(|left| now + crate::millis(left));
@@ -265,7 +263,7 @@
         share.job_changed(0, "j-1", &key, 1);
         share.merge_report(0, &report(1, 1, 5, Vec::new()));
         let machine = share.machines.find("host-1").expect("known");
-        share.machines.get_mut(machine).expect("there").version = 1;
+        share.machines.get_mut(machine).expect("there").written = true;
         share.place(0);
         let attempt = share.machines.get(machine).expect("there").open[0];
         share.attempts.get_mut(attempt).expect("open").written = true;
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -51,8 +51,6 @@
 /// Commands sent straight to a worker.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Push {
-    /// Something new is to be sent.
-    pub wanted: bool,
     pub in_flight: bool,
     pub starts: bool,
     pub not_before: Millis,
@@ -65,10 +63,9 @@
     pub type_ix: Ix,
     pub zone: Ix,
     pub spot: bool,
-    /// Version of its roster key; 0 while unwritten.
-    pub version: u64,
-    pub roster_dirty: bool,
-    pub roster_writing: bool,
+    /// Its group in the roster, and whether the group's key names it yet.
+    pub group: Option<Ix>,
+    pub written: bool,
     pub hired_at: Millis,
     /// In the cloud's list now being read; in any; missing from the last one.
     pub listed: bool,
@@ -158,9 +155,8 @@
             type_ix,
             zone,
             spot,
-            version: 0,
-            roster_dirty: true,
-            roster_writing: false,
+            group: None,
+            written: false,
             hired_at: now,
             listed: false,
             once_listed: false,
@@ -184,14 +180,10 @@
         }
     }
 
-    /// May be given new tasks: its roster key is written (a successor must know
-    /// of it), it was heard by this owner, and nothing speaks against it.
+    /// May be given new tasks: the roster names it (a successor must know of
+    /// it), it was heard by this owner, and nothing speaks against it.
     pub fn usable(&self, now: Millis) -> bool {
-        self.version > 0
-            && self.heard_at.is_some()
-            && self.taken_at.is_none()
-            && !self.condemned
-            && now >= self.rest_until
+        self.written && self.heard_at.is_some() && self.taken_at.is_none() && !self.condemned && now >= self.rest_until
     }
 
     pub fn holds(&self, image: Ix) -> bool {
