Let peers relay reports in batches and hand the owner's commands to workers

A profile put more than half of what is charged down to packets and system calls, and 11% to the search for tasks to stop. Workers now stay spread over the peers; a peer sends the owner its reports once a tick and takes over direct commands in the same way. Answers of the state service are taken in before anything else, and only machines on which somebody can be stopped are looked at for that. Also: old and starving jobs hold their team's limit open for themselves; without it the test of starvation found large tasks kept out for ever by small ones.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::intake::{Around, Asker, Intake, Want};
 use crate::ownership::{Ownership, Phase, Wish};
+pub use crate::peers::WorkerReply;
 use crate::peers::{Answer, Ask, Message, Peers};
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -91,18 +92,6 @@
     Lost,
 }
 
-#[derive(Clone, Debug, PartialEq)]
-pub enum WorkerReply {
-    /// Executed; the worker's report after the commands.
-    Done(Box<Report>),
-    /// Not executed: the token is too low or the session another.
-    Refused(Box<Report>),
-    /// Surely not delivered.
-    NotSent,
-    /// Sent and not answered: perhaps executed, perhaps later.
-    Lost,
-}
-
 /// Why a request to the state service was made.
 #[derive(Clone, Debug)]
 enum Purpose {
@@ -172,8 +161,9 @@
     checking_claim: bool,
 
     cloud: cloud::Calls,
-    /// Direct commands in flight: machine and term.
-    pushes: BTreeMap<u64, (String, u64)>,
+    /// Direct commands in flight.
+    pushes: BTreeMap<u64, owner::Pushing>,
+    next_path: usize,
     claimed_at: Millis,
     worker_heard_at: Millis,
     looked_over_at: Millis,
@@ -188,6 +178,11 @@
     forwards: BTreeMap<u64, u64>,
     next_forward: u64,
     relays: BTreeMap<u64, (u64, Millis)>,
+    /// Reports to relay with the next tick.
+    relay_out: Vec<(u64, Report)>,
+    /// Commands taken over from an owner, by our call: who asked, and its id.
+    held: BTreeMap<u64, (String, u64)>,
+    pushed_out: BTreeMap<String, Vec<(u64, WorkerReply)>>,
     guests: BTreeMap<String, standby::Guest>,
 }
 
@@ -200,7 +195,8 @@
             now: 0,
             wall: 0,
             outputs: Vec::new(),
-            next_call: 0,
+            // A peer may still answer what a former life of this process asked.
+            next_call: life >> 1,
             ownership: Ownership::new(&settings.node, life),
             mirror: Mirror::default(),
             catalogue: None,
@@ -220,6 +216,7 @@
             checking_claim: false,
             cloud: cloud::Calls::new(settings.params.cloud.rps * 0.7),
             pushes: BTreeMap::new(),
+            next_path: 0,
             claimed_at: 0,
             worker_heard_at: 0,
             looked_over_at: 0,
@@ -230,9 +227,11 @@
             reclaimed_at: 0,
             loading_since: 0,
             forwards: BTreeMap::new(),
-            // A peer may still answer what a former life of this process asked.
             next_forward: life >> 1,
             relays: BTreeMap::new(),
+            relay_out: Vec::new(),
+            held: BTreeMap::new(),
+            pushed_out: BTreeMap::new(),
             guests: BTreeMap::new(),
             settings,
             policy,
@@ -250,7 +249,7 @@
             Input::Peer { node, message } => self.peer(node, *message),
             Input::Store { call, reply } => self.store_reply(call, reply),
             Input::Cloud { call, reply } => self.cloud_reply(call, reply),
-            Input::Worker { call, reply } => self.worker_reply(call, reply),
+            Input::Worker { call, reply } => self.worker_answered(call, reply),
         }
         self.advance();
         std::mem::take(&mut self.outputs)
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -8,6 +8,7 @@
 use crate::store::{StoreReply, StoreRequest, tail};
 use crate::wire::{Change, DirectCommands, Report, ReportAnswer, Transaction};
 use crate::workers::{Merged, Path};
+use std::collections::BTreeMap;
 
 const PLACE_EVERY_MS: Millis = 25;
 const PLACE_ANYWAY_MS: Millis = 400;
@@ -15,6 +16,8 @@
 const LOOK_OVER_EVERY_MS: Millis = 200;
 /// Direct commands in flight at once.
 const MAX_PUSHES: usize = 256;
+/// Longer than any call to a worker takes.
+const PUSH_PATIENCE_MS: Millis = 5_000;
 const COUNTS_EVERY_MS: Millis = 1_000;
 /// Raising the term costs a fresh start, so not more often than this.
 const RECLAIM_EVERY_MS: Millis = 8_000;
@@ -24,6 +27,14 @@
 const DEAF_HOLD_OFF_MS: Millis = 6_000;
 const LOAD_PATIENCE_MS: Millis = 5_000;
 
+/// Direct commands to a machine, under a term.
+#[derive(Clone, Debug)]
+pub struct Pushing {
+    name: String,
+    term: u64,
+    sent: Millis,
+}
+
 impl Controller {
     pub(super) fn owner_changed(&mut self) {
         let Some((owner, version)) = &self.mirror.owner else {
@@ -277,6 +288,7 @@
             share.close_lapsed(self.now);
             share.drain(self.now);
             share.plan_fleet(self.now);
+            self.give_up_pushes();
             self.delete_condemned();
         }
         self.place();
@@ -446,26 +458,52 @@
             machine.push.starts = commands
                 .iter()
                 .any(|command| matches!(command, crate::wire::Command::Start { .. }));
-            sends.push((machine.name.clone(), address, session, commands));
+            sends.push((machine.name.clone(), machine.via.clone(), address, session, commands));
         }
-        for (name, address, session, commands) in sends {
+        let mut by_peer: BTreeMap<String, Vec<(u64, String, DirectCommands)>> = BTreeMap::new();
+        for (name, via, address, session, commands) in sends {
             let call = self.call();
+            let commands = DirectCommands {
+                token: term,
+                session,
+                commands,
+            };
+            let peer = via
+                .filter(|node| self.peers.in_reach(now, node))
+                .or_else(|| self.next_peer());
             // By name: the index may be another machine's by the time of the reply.
-            self.pushes.insert(call, (name, term));
-            self.outputs.push(Output::Worker {
-                call,
-                address,
-                commands: DirectCommands {
-                    token: term,
-                    session,
+            let sent = now;
+            self.pushes.insert(call, Pushing { name, term, sent });
+            match peer {
+                Some(node) => by_peer.entry(node).or_default().push((call, address, commands)),
+                None => self.outputs.push(Output::Worker {
+                    call,
+                    address,
                     commands,
-                },
-            });
+                }),
+            }
+        }
+        for (node, commands) in by_peer {
+            let share = SHARE.into();
+            let message = Message::Push { share, commands };
+            self.outputs.push(Output::Peer { node, message });
+        }
+    }
+
+    /// What a peer holds for too long counts as lost: it may still arrive.
+    fn give_up_pushes(&mut self) {
+        let now = self.now;
+        let late = self
+            .pushes
+            .iter()
+            .filter(|(_, push)| now > push.sent + PUSH_PATIENCE_MS);
+        for call in late.map(|(&call, _)| call).collect::<Vec<_>>() {
+            self.worker_reply(call, WorkerReply::Lost);
         }
     }
 
     pub(super) fn worker_reply(&mut self, call: u64, reply: WorkerReply) {
-        let Some((name, term)) = self.pushes.remove(&call) else {
+        let Some(Pushing { name, term, .. }) = self.pushes.remove(&call) else {
             return;
         };
         let now = self.now;
@@ -493,7 +531,7 @@
     }
 
     /// Merges a report as the owner. `None`: it was not the owner's to take.
-    fn take_report(&mut self, report: &Report, path: Path) -> Option<Merged> {
+    pub(super) fn take_report(&mut self, report: &Report, path: Path) -> Option<Merged> {
         let now = self.now;
         if !self.ownership.acting(now) {
             return None;
@@ -524,10 +562,17 @@
     }
 
     /// Answers a worker's report as the owner: the token, and its commands.
-    pub(super) fn answer_report(&mut self, report: &Report) -> Option<ReportAnswer> {
+    /// `via`: the peer that relayed it, if one did.
+    pub(super) fn answer_report(&mut self, report: &Report, via: Option<&str>) -> Option<ReportAnswer> {
         let merged = self.take_report(report, Path::Sent)?;
         let (now, token) = (self.now, self.ownership.term);
         let share = self.share.as_mut()?;
+        if let Merged::New(ix) = merged
+            && let Some(machine) = share.machines.get_mut(ix)
+            && machine.via.as_deref() != via
+        {
+            machine.via = via.map(str::to_owned);
+        }
         let commands = match merged {
             Merged::New(ix) => share.answer_commands(now, ix),
             Merged::Old => {
--- a/src/controller/standby.rs
+++ b/src/controller/standby.rs
@@ -1,95 +1,164 @@
-//! What every controller does beside owning: answering peers, and guiding or
-//! relaying the reports of workers.
+//! What every controller does beside owning: answering peers, relaying the
+//! reports of workers to the owner, and handing its commands to them.
 
 use super::{Controller, Output, SHARE};
 use crate::Millis;
 use crate::intake::{Asker, busy};
-use crate::peers::{Answer, Message, ReportReply};
-use crate::wire::{Redirect, Report};
+use crate::peers::{Answer, Message, ReportReply, WorkerReply};
+use crate::wire::{DirectCommands, Redirect, Report};
+use crate::workers::{Merged, Path};
 
 const RELAY_PATIENCE_MS: Millis = 3_000;
-/// A worker back so soon after being sent to the owner can't reach it.
+/// A worker back so soon after being sent on can't use that controller.
 const BACK_SOON_MS: Millis = 25_000;
-const GUEST_MS: Millis = 90_000;
+const STAY_MS: Millis = 60_000;
 const MAX_GUESTS: usize = 5_000;
+/// Reports waiting for the owner's answer, and commands held for it.
+const MAX_RELAYS: usize = 2_000;
+const MAX_HELD: usize = 512;
+/// Reports or replies in one message, so that frames stay small.
+const BATCH: usize = 64;
 
-/// A worker that reported here while another controller owned the share.
+/// A worker that the owner sent on to another controller.
 #[derive(Clone, Copy, Debug)]
 pub struct Guest {
-    at: Millis,
-    sent_on: bool,
-    /// It came back: its reports are relayed from now on.
-    stays: bool,
+    sent_on_at: Millis,
+    stays_until: Millis,
 }
 
 impl Controller {
     pub(super) fn report(&mut self, request: u64, report: Report) {
         if self.ownership.holds_claim() {
-            let reply = match self.answer_report(&report) {
-                Some(answer) => ReportReply::Taken(answer),
-                None => ReportReply::Elsewhere(None),
-            };
-            self.outputs.push(Output::Answer {
-                request,
-                answer: report_answer(reply),
-            });
+            let reply = self.own_report(&report);
+            self.answer_worker(request, reply);
             return;
         }
-        let Some(owner) = self.peers.owner(self.now).map(str::to_owned) else {
-            let answer = report_answer(ReportReply::Elsewhere(None));
-            self.outputs.push(Output::Answer { request, answer });
-            return;
-        };
-        if self.sends_on(&report.machine) {
-            let answer = report_answer(ReportReply::Elsewhere(Some(owner)));
-            self.outputs.push(Output::Answer { request, answer });
+        if self.peers.owner(self.now).is_none() || self.relays.len() >= MAX_RELAYS {
+            self.answer_worker(request, ReportReply::Elsewhere(None));
             return;
         }
         self.next_forward += 1;
         let id = self.next_forward;
         self.relays.insert(id, (request, self.now + RELAY_PATIENCE_MS));
-        self.outputs.push(Output::Peer {
-            node: owner,
-            message: Message::Relay {
-                share: SHARE.into(),
-                id,
-                report: Box::new(report),
-            },
-        });
+        self.relay_out.push((id, report));
+    }
+
+    /// A report that came to the owner itself. Its processor is the scarcest, so
+    /// it sends workers on to the others, which relay their reports.
+    fn own_report(&mut self, report: &Report) -> ReportReply {
+        if self.owns_share()
+            && let Some(node) = self.next_peer()
+            && self.sends_on(&report.machine)
+        {
+            return match self.take_report(report, Path::Sent) {
+                Some(Merged::New(_) | Merged::Old) => ReportReply::Elsewhere(Some(node)),
+                _ => ReportReply::Elsewhere(None),
+            };
+        }
+        self.answer_report(report, None)
+            .map_or(ReportReply::Elsewhere(None), ReportReply::Taken)
+    }
+
+    fn answer_worker(&mut self, request: u64, reply: ReportReply) {
+        let answer = report_answer(reply);
+        self.outputs.push(Output::Answer { request, answer });
     }
 
-    /// The first report of a worker is relayed, so that no time is lost; the
-    /// second sends it to the owner; if it comes back, it can't reach the owner
-    /// and is relayed for good.
+    /// The controllers in reach, one after the other.
+    pub(super) fn next_peer(&mut self) -> Option<String> {
+        let peers = self.peers.in_reach_now(self.now);
+        self.next_path = self.next_path.wrapping_add(1);
+        let node = *peers.get(self.next_path % peers.len().max(1))?;
+        Some(node.to_owned())
+    }
+
+    /// A worker that comes back soon after it was sent on can't use the
+    /// controller it was sent to, and stays for a while.
     fn sends_on(&mut self, machine: &str) -> bool {
         let now = self.now;
         if self.guests.len() >= MAX_GUESTS {
             self.guests.clear();
         }
-        let guest = self.guests.entry(machine.into()).or_insert(Guest {
-            at: 0,
-            sent_on: false,
-            stays: false,
-        });
-        if guest.at == 0 || now > guest.at + GUEST_MS {
-            *guest = Guest {
-                at: now,
-                sent_on: false,
-                stays: false,
-            };
-            return false;
+        match self.guests.get_mut(machine) {
+            Some(guest) if now < guest.stays_until => false,
+            Some(guest) if now < guest.sent_on_at + BACK_SOON_MS => {
+                guest.stays_until = now + STAY_MS;
+                false
+            }
+            _ => {
+                let guest = Guest {
+                    sent_on_at: now,
+                    stays_until: 0,
+                };
+                self.guests.insert(machine.into(), guest);
+                true
+            }
+        }
+    }
+
+    /// A worker's answer to direct commands, our own or those held for an owner.
+    pub(super) fn worker_answered(&mut self, call: u64, reply: WorkerReply) {
+        match self.held.remove(&call) {
+            Some((node, id)) => self.pushed_out.entry(node).or_default().push((id, reply)),
+            None => self.worker_reply(call, reply),
         }
-        let since = now - guest.at;
-        guest.at = now;
-        if guest.stays {
-            return false;
+    }
+
+    fn hold(&mut self, node: String, commands: Vec<(u64, String, DirectCommands)>) {
+        for (id, address, commands) in commands {
+            if self.held.len() >= MAX_HELD {
+                let refused = (id, WorkerReply::NotSent);
+                self.pushed_out.entry(node.clone()).or_default().push(refused);
+                continue;
+            }
+            let call = self.call();
+            self.held.insert(call, (node.clone(), id));
+            self.outputs.push(Output::Worker {
+                call,
+                address,
+                commands,
+            });
+        }
+    }
+
+    /// Sends on what has come together since the last tick: one frame costs the
+    /// owner far less than many.
+    fn flush(&mut self) {
+        let mut reports = std::mem::take(&mut self.relay_out);
+        if !reports.is_empty() {
+            match self.peers.owner(self.now).map(str::to_owned) {
+                Some(owner) => {
+                    while !reports.is_empty() {
+                        let rest = reports.split_off(reports.len().min(BATCH));
+                        self.outputs.push(Output::Peer {
+                            node: owner.clone(),
+                            message: Message::Relay {
+                                share: SHARE.into(),
+                                reports: std::mem::replace(&mut reports, rest),
+                            },
+                        });
+                    }
+                }
+                None => {
+                    for (id, _) in reports {
+                        if let Some((request, _)) = self.relays.remove(&id) {
+                            self.answer_worker(request, ReportReply::Elsewhere(None));
+                        }
+                    }
+                }
+            }
         }
-        if guest.sent_on && since < BACK_SOON_MS {
-            guest.stays = true;
-            return false;
+        for (node, mut replies) in std::mem::take(&mut self.pushed_out) {
+            while !replies.is_empty() {
+                let rest = replies.split_off(replies.len().min(BATCH));
+                self.outputs.push(Output::Peer {
+                    node: node.clone(),
+                    message: Message::Pushed {
+                        replies: std::mem::replace(&mut replies, rest),
+                    },
+                });
+            }
         }
-        guest.sent_on = true;
-        true
     }
 
     pub(super) fn peer(&mut self, node: String, message: Message) {
@@ -125,20 +194,29 @@
                     self.carry_out(wants);
                 }
             }
-            Message::Relay { id, report, .. } => {
-                let reply = match self.answer_report(&report) {
-                    Some(answer) => ReportReply::Taken(answer),
-                    None => ReportReply::Elsewhere(None),
-                };
-                self.outputs.push(Output::Peer {
-                    node,
-                    message: Message::Relayed { id, reply },
-                });
+            Message::Relay { reports, .. } => {
+                let answers = reports
+                    .into_iter()
+                    .map(|(id, report)| {
+                        let answer = self.answer_report(&report, Some(&node));
+                        let reply = answer.map_or(ReportReply::Elsewhere(None), ReportReply::Taken);
+                        (id, reply)
+                    })
+                    .collect();
+                let message = Message::Relayed { answers };
+                self.outputs.push(Output::Peer { node, message });
+            }
+            Message::Relayed { answers } => {
+                for (id, reply) in answers {
+                    if let Some((request, _)) = self.relays.remove(&id) {
+                        self.answer_worker(request, reply);
+                    }
+                }
             }
-            Message::Relayed { id, reply } => {
-                if let Some((request, _)) = self.relays.remove(&id) {
-                    let answer = report_answer(reply);
-                    self.outputs.push(Output::Answer { request, answer });
+            Message::Push { commands, .. } => self.hold(node, commands),
+            Message::Pushed { replies } => {
+                for (id, reply) in replies {
+                    self.worker_reply(id, reply);
                 }
             }
             Message::Counts { share, counts } => {
@@ -160,10 +238,10 @@
             .collect();
         for id in late {
             if let Some((request, _)) = self.relays.remove(&id) {
-                let answer = report_answer(ReportReply::Elsewhere(None));
-                self.outputs.push(Output::Answer { request, answer });
+                self.answer_worker(request, ReportReply::Elsewhere(None));
             }
         }
+        self.flush();
         // Forwards are given up by intake; what is left here is forgotten with it.
         if self.forwards.len() > 2_000 {
             let oldest = self.next_forward.saturating_sub(1_000);
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -2,7 +2,7 @@
 //! what is forwarded or relayed.
 
 use crate::Millis;
-use crate::wire::{Report, ReportAnswer};
+use crate::wire::{DirectCommands, Report, ReportAnswer};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -33,6 +33,19 @@
     Elsewhere(Option<String>),
 }
 
+/// What came of commands sent straight to a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum WorkerReply {
+    /// Executed; the worker's report after the commands.
+    Done(Box<Report>),
+    /// Not executed: the token is too low or the session another.
+    Refused(Box<Report>),
+    /// Surely not delivered, now or later.
+    NotSent,
+    /// Sent and not answered: perhaps executed, perhaps later.
+    Lost,
+}
+
 /// Messages between controllers. Each says which share it is about.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -52,14 +65,21 @@
         id: u64,
         answer: Answer,
     },
+    /// Reports of workers, many at once, for the owner to answer.
     Relay {
         share: String,
-        id: u64,
-        report: Box<Report>,
+        reports: Vec<(u64, Report)>,
     },
     Relayed {
-        id: u64,
-        reply: ReportReply,
+        answers: Vec<(u64, ReportReply)>,
+    },
+    /// Commands for the peer to hand to workers: id, address, commands.
+    Push {
+        share: String,
+        commands: Vec<(u64, String, DirectCommands)>,
+    },
+    Pushed {
+        replies: Vec<(u64, WorkerReply)>,
     },
     /// Task counts of unfinished jobs, for display: id, done, running.
     Counts {
@@ -134,6 +154,11 @@
             .map(|(node, _)| node.as_str())
     }
 
+    pub fn in_reach_now(&self, now: Millis) -> Vec<&str> {
+        let links = self.links.iter().filter(|(_, link)| heard(link, now));
+        links.map(|(node, _)| node.as_str()).collect()
+    }
+
     /// A controller in reach that can use the state service.
     pub fn with_store(&self, now: Millis) -> Option<&str> {
         self.links
@@ -150,6 +175,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::wire::Command;
     use proptest::prelude::*;
 
     proptest! {
@@ -158,7 +184,16 @@
             for message in [
                 Message::Forward { share: "pool".into(), id, ask: Ask::Submit(text.clone()) },
                 Message::Forwarded { id, answer: Answer { status: 503, body: text.clone(), retry_after_s: retry } },
-                Message::Relayed { id, reply: ReportReply::Elsewhere(Some(text.clone())) },
+                Message::Relayed { answers: vec![(id, ReportReply::Elsewhere(Some(text.clone())))] },
+                Message::Push {
+                    share: "pool".into(),
+                    commands: vec![(id, text.clone(), DirectCommands {
+                        token: id,
+                        session: 1,
+                        commands: vec![Command::Stop { task: text.clone(), attempt: id, grace_s: 1.5 }],
+                    })],
+                },
+                Message::Pushed { replies: vec![(id, WorkerReply::Lost)] },
             ] {
                 let bytes = rmp_serde::to_vec(&message).expect("written");
                 prop_assert_eq!(rmp_serde::from_slice::<Message>(&bytes).expect("read"), message);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -76,6 +76,7 @@
     pub fn place(&mut self, now: Millis) {
         let mut planned = 0;
         let mut board = Board::new(self, now);
+        let mut held = vec![false; self.teams_use.len()];
         // What would starve gets one task each before all others, and is then
         // back in its place.
         let starving = self.starving_jobs().into_iter().map(|ix| (ix, true));
@@ -95,7 +96,11 @@
                 };
                 let room = job.shape.room;
                 let (team, job_image) = (job.team, job.image);
-                if !self.teams_use[team as usize].may_add(room) {
+                let pressing = starving || job.old(self.wall);
+                if held[team as usize] || !self.teams_use[team as usize].may_add(room) {
+                    // Small tasks would for ever use up what the team's limit
+                    // leaves, and never leave it enough.
+                    held[team as usize] |= pressing;
                     break;
                 }
                 let choice = self.choose(now, ix, &mut board);
@@ -125,7 +130,7 @@
                     }
                     Choice::NoRoom => {
                         // Small tasks would fill for ever what it needs whole.
-                        if let Some(job) = self.jobs.get(ix).filter(|_| starving) {
+                        if let Some(job) = self.jobs.get(ix).filter(|_| pressing) {
                             board.reserve(&job.shape);
                         }
                         break;
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -4,7 +4,7 @@
 use crate::ids::Ix;
 use crate::wire::{Priority, TaskState};
 use crate::workers::{Outcome, Room};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Tasks made room for in one round.
 const ROUND: usize = 20;
@@ -26,6 +26,7 @@
             }
         }
         let mut stopped = 0;
+        let candidates = self.preemptible(now, &coming);
         // Shapes and priorities for which there is nobody to stop.
         let mut hopeless: Vec<(Shape, Priority)> = Vec::new();
         for job_ix in self.placement_order() {
@@ -49,7 +50,7 @@
                 if stopped >= ROUND || !team.may_add(room) {
                     break;
                 }
-                let Some((machine, victims)) = self.cheapest_room(now, job_ix, &coming) else {
+                let Some((machine, victims)) = self.cheapest_room(now, job_ix, &coming, &candidates) else {
                     if !bound {
                         hopeless.push((shape, priority));
                     }
@@ -82,14 +83,41 @@
         }
     }
 
+    /// Machines on which somebody could be stopped, or is: the only ones worth a
+    /// closer look.
+    fn preemptible(&self, now: Millis, coming: &BTreeMap<Ix, Room>) -> Vec<Ix> {
+        let mut candidates: BTreeSet<Ix> = coming.keys().copied().collect();
+        let short = self.jobs.iter().filter(|(_, job)| job.short_since.is_some());
+        let highest = short.map(|(_, job)| job.priority()).max();
+        let lost_ms = crate::millis(self.policy.preempt_lost_s);
+        for (_, job) in self.jobs.iter() {
+            if Some(job.priority()) >= highest || job.spec.deadline_s.is_some() || !job.has_slack(self.wall) {
+                continue;
+            }
+            let open = job.open.values().filter_map(|&ix| self.attempts.get(ix));
+            let young = open.filter(|attempt| attempt.running_since.is_none_or(|since| now <= since + lost_ms));
+            candidates.extend(young.map(|attempt| attempt.machine));
+        }
+        candidates.into_iter().collect()
+    }
+
     /// The machine on which least work is lost by making room for a task of
     /// this job, and whom to stop there.
-    fn cheapest_room(&self, now: Millis, job_ix: Ix, coming: &BTreeMap<Ix, Room>) -> Option<(Ix, Vec<Ix>)> {
+    fn cheapest_room(
+        &self,
+        now: Millis,
+        job_ix: Ix,
+        coming: &BTreeMap<Ix, Room>,
+        candidates: &[Ix],
+    ) -> Option<(Ix, Vec<Ix>)> {
         let job = self.jobs.get(job_ix)?;
         let room = job.shape.room;
         let zones = self.zones_open_to(job);
         let mut best: Option<(f64, Ix, Vec<Ix>)> = None;
-        for (machine_ix, machine) in self.machines.iter() {
+        for &machine_ix in candidates {
+            let Some(machine) = self.machines.get(machine_ix) else {
+                continue;
+            };
             if !machine.usable(now) || !super::allows(job, machine, &zones) {
                 continue;
             }
--- a/src/runtime/calls.rs
+++ b/src/runtime/calls.rs
@@ -23,20 +23,23 @@
     state: SocketAddr,
     cloud: SocketAddr,
     events: mpsc::Sender<Event>,
+    /// For the state service's answers, on which the lease depends.
+    store_events: mpsc::Sender<Event>,
 }
 
 impl Calls {
-    pub fn new(settings: &Settings, events: mpsc::Sender<Event>) -> Calls {
+    pub fn new(settings: &Settings, events: mpsc::Sender<Event>, store_events: mpsc::Sender<Event>) -> Calls {
         Calls {
             client: Client::default(),
             state: settings.services.state,
             cloud: settings.services.cloud,
             events,
+            store_events,
         }
     }
 
-    fn run(&self, call: impl Future<Output = Input> + Send + 'static) {
-        let events = self.events.clone();
+    fn run(&self, events: &mpsc::Sender<Event>, call: impl Future<Output = Input> + Send + 'static) {
+        let events = events.clone();
         tokio::spawn(async move {
             let input = call.await;
             // The loop ends only with the process.
@@ -46,7 +49,7 @@
 
     pub fn store(&self, call: u64, request: StoreRequest) {
         let (client, address) = (self.client.clone(), self.state);
-        self.run(async move {
+        self.run(&self.store_events, async move {
             let (method, path, body, patience) = store_request(&request);
             let response = client.request(address, method, &path, body, patience).await;
             Input::Store {
@@ -58,7 +61,7 @@
 
     pub fn cloud(&self, call: u64, request: CloudRequest) {
         let (client, address) = (self.client.clone(), self.cloud);
-        self.run(async move {
+        self.run(&self.events, async move {
             let (method, path, body) = match &request {
                 CloudRequest::Catalogue => (Method::GET, "/catalog".into(), Vec::new()),
                 CloudRequest::Hire(hire) => (Method::POST, "/machines".into(), json(hire)),
@@ -75,7 +78,7 @@
 
     pub fn worker(&self, call: u64, address: String, commands: DirectCommands) {
         let client = self.client.clone();
-        self.run(async move {
+        self.run(&self.events, async move {
             let reply = match address.parse() {
                 Ok(address) => {
                     let response = client
--- a/src/runtime/client.rs
+++ b/src/runtime/client.rs
@@ -13,7 +13,8 @@
 const CONNECT: Duration = Duration::from_millis(1_500);
 const MAX_BODY: usize = 16 << 20;
 const MAX_IDLE: usize = 8;
-const MAX_IDLE_TOTAL: usize = 120;
+/// Enough for the machines that one controller hands commands to.
+pub const MAX_IDLE_TOTAL: usize = 600;
 
 /// Why there is no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -94,7 +95,9 @@
             return;
         }
         if idle.values().map(Vec::len).sum::<usize>() >= MAX_IDLE_TOTAL {
-            idle.clear();
+            // Any of them: all are as good as gone if they are not used again.
+            let other = idle.keys().find(|&&other| other != address).copied();
+            other.and_then(|other| idle.remove(&other));
         }
         let kept = idle.entry(address).or_default();
         if kept.len() < MAX_IDLE {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -20,7 +20,7 @@
 
 const TICK: Duration = Duration::from_millis(50);
 /// Sockets kept for the state service, the cloud, workers and peers.
-const RESERVED_CONNECTIONS: u32 = 160;
+const RESERVED_CONNECTIONS: u32 = 320 + client::MAX_IDLE_TOTAL as u32;
 const QUEUE: usize = 4_096;
 const USER_QUEUE: usize = 512;
 
@@ -78,18 +78,21 @@
     tracing::info!(node = settings.node, zone = settings.zone, listen = %settings.listen, "started");
 
     let clock = Clock { start: Instant::now() };
-    let calls = calls::Calls::new(&settings, urgent);
+    let (store, mut store_events) = mpsc::channel(QUEUE);
+    let calls = calls::Calls::new(&settings, urgent, store);
     let mut controller = Controller::new(settings, policy, rand::random());
     let mut waiting: BTreeMap<u64, oneshot::Sender<Answer>> = BTreeMap::new();
     let mut next_request = 0u64;
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        // Replies, reports and peers before users: an owner that falls behind
-        // must not lose its lease or its workers to polls.
+        // The state service first, then workers and peers, users last: an owner
+        // that falls behind must not lose its lease to reports, nor its workers
+        // to polls.
         let event = tokio::select! {
             biased;
             _ = tick.tick() => Event::Input(Input::Tick),
+            Some(event) = store_events.recv() => event,
             Some(event) = urgent_events.recv() => event,
             Some(event) = user_events.recv() => event,
         };
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -102,6 +102,8 @@
     /// Given up: no new tasks; to be deleted.
     pub condemned: bool,
     pub push: Push,
+    /// The peer that relayed its last report.
+    pub via: Option<String>,
     /// Images it holds or fetches, the latest last, with their sizes.
     pub images: Vec<(Ix, f64)>,
     pub open: Vec<Ix>,
@@ -188,6 +190,7 @@
             taken_at: None,
             condemned: false,
             push: Push::default(),
+            via: None,
             images: Vec::new(),
             open: Vec::new(),
             strays: Vec::new(),
