Give clean-ups their part of the writes; raise the term without a fresh start

Clean-ups get half of what is spare, done sets alone are written every 1.5 s at most, the term rises over what is known once nothing of the old claim is in flight, and only a write under the present claim tells that it is gone.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -170,8 +170,11 @@
     placed_at: Millis,
     place_wanted: bool,
     counts_at: Millis,
-    /// When a claim over the own claim is due, if one is.
+    /// What is known may be wrong: claim once more and read it all again.
     reclaim_wanted: bool,
+    /// The term is about to rise, or rising, while what is known still holds.
+    raising: bool,
+    committed_at: Millis,
     reclaimed_at: Millis,
     loading_since: Millis,
 
@@ -224,6 +227,8 @@
             place_wanted: false,
             counts_at: 0,
             reclaim_wanted: false,
+            raising: false,
+            committed_at: 0,
             reclaimed_at: 0,
             loading_since: 0,
             forwards: BTreeMap::new(),
@@ -426,9 +431,9 @@
     fn budget(&self) -> (f64, f64) {
         let nodes = self.settings.peers.len() as f64 + 1.0;
         if self.ownership.phase == Phase::Standby {
-            (0.4 / nodes, 0.3 / nodes)
+            (0.4 / nodes, 0.2 / nodes)
         } else {
-            (0.45, 0.55)
+            (0.45, 0.7)
         }
     }
 
@@ -474,14 +479,14 @@
                 }
             }
             Purpose::Load(part) => self.load_answered(part, request, reply),
-            Purpose::Commit => self.commit_answered(reply),
+            Purpose::Commit => self.commit_answered(request, reply),
             Purpose::ReadEnd(op) => {
                 let wants = self.intake.end_read(op, &reply);
                 self.carry_out(wants);
             }
             Purpose::Write(op) => {
                 if let StoreReply::Conflict { failed } = &reply {
-                    self.check_claim_in(failed);
+                    self.check_claim_in(request, failed);
                 }
                 let wants = self.with_intake(|intake, around, _| intake.written(around, op, &reply));
                 self.carry_out(wants);
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -14,6 +14,8 @@
 const PLACE_ANYWAY_MS: Millis = 400;
 /// How often all machines are looked over for what time alone has changed.
 const LOOK_OVER_EVERY_MS: Millis = 200;
+/// How often what nobody waits for is written.
+const COMMIT_ANYWAY_MS: Millis = 150;
 /// Direct commands in flight at once.
 const MAX_PUSHES: usize = 256;
 /// Longer than any call to a worker takes.
@@ -50,6 +52,7 @@
         self.ownership.step_down(self.now, hold_off);
         self.share = None;
         self.reclaim_wanted = false;
+        self.raising = false;
         self.checking_claim = false;
         self.cloud.forget();
         self.pushes.clear();
@@ -98,6 +101,11 @@
         self.ownership.claimed(version);
         self.claimed_at = self.now;
         self.reclaimed_at = self.now;
+        if self.raising && !self.reclaim_wanted {
+            self.raised();
+            return;
+        }
+        self.raising = false;
         self.reclaim_wanted = false;
         self.loading_since = self.now;
         self.worker_heard_at = self.now;
@@ -115,6 +123,22 @@
         self.load(Loading::Machines, String::new());
     }
 
+    /// The term rose over the own claim, with nothing of the old one in flight to
+    /// the state service: what is known still holds, and only the workers have
+    /// to see the new token.
+    fn raised(&mut self) {
+        self.raising = false;
+        self.ownership.phase = Phase::Active;
+        let Some(share) = &mut self.share else {
+            return;
+        };
+        share.term = self.ownership.term;
+        let doubtful = share.machines.iter().filter(|(_, machine)| machine.doubt > 0);
+        let doubtful: Vec<Ix> = doubtful.map(|(ix, _)| ix).collect();
+        share.to_push.extend(doubtful);
+        self.place_wanted = true;
+    }
+
     fn load(&mut self, part: Loading, after: String) {
         let prefix = match part {
             Loading::Machines => self.keys.rosters(),
@@ -250,8 +274,12 @@
     }
 
     /// A transaction conflicted: if the claim was among the reasons, it is gone.
-    pub(super) fn check_claim_in(&mut self, failed: &[String]) -> bool {
-        let lost = self.ownership.holds_claim() && failed.contains(&self.keys.owner());
+    /// Unless the transaction was older than our present claim.
+    pub(super) fn check_claim_in(&mut self, request: &StoreRequest, failed: &[String]) -> bool {
+        let condition = self.ownership.condition(&self.keys);
+        let present =
+            matches!(request, StoreRequest::Transact(transaction) if transaction.conditions.contains(&condition));
+        let lost = present && self.ownership.holds_claim() && failed.contains(&condition.key);
         if lost {
             tracing::warn!(term = self.ownership.term, "the claim is gone");
             self.stand_by(0);
@@ -328,14 +356,19 @@
 
     /// Starts a new term over the own claim where one is called for.
     fn reclaim(&mut self) -> bool {
-        if let Some(share) = &mut self.share
-            && std::mem::take(&mut share.withdraw)
-        {
-            self.reclaim_wanted = true;
+        let Some(share) = &mut self.share else {
+            return false;
+        };
+        let wanted = self.reclaim_wanted || share.withdraw;
+        if !wanted || self.now < self.reclaimed_at + RECLAIM_EVERY_MS {
+            return false;
         }
-        if !self.reclaim_wanted || self.now < self.reclaimed_at + RECLAIM_EVERY_MS {
+        // What is in flight depends on the claim as it is.
+        self.raising = true;
+        if !self.reclaim_wanted && share.ledger.in_flight.is_some() {
             return false;
         }
+        share.withdraw = false;
         tracing::info!(term = self.ownership.term, "raising the term");
         let transaction = self.ownership.reclaim(&self.keys, &self.mirror);
         self.send_claim(transaction);
@@ -343,9 +376,12 @@
     }
 
     fn commit(&mut self) {
-        if !self.writes.ready(self.now) || !self.requests.ready(self.now) {
+        let pressing = self.share.as_ref().is_some_and(|share| share.starts_wait());
+        let due = pressing || self.now >= self.committed_at + COMMIT_ANYWAY_MS;
+        if !due || self.raising || !self.writes.ready(self.now) || !self.requests.ready(self.now) {
             return;
         }
+        self.committed_at = self.now;
         let claim = self.ownership.condition(&self.keys);
         let max_ops = self.settings.params.state.txn_ops as usize;
         let spare = (self.writes.level(self.now) as usize).max(1);
@@ -357,7 +393,7 @@
         }
     }
 
-    pub(super) fn commit_answered(&mut self, reply: StoreReply) {
+    pub(super) fn commit_answered(&mut self, request: &StoreRequest, reply: StoreReply) {
         let Some(share) = &mut self.share else {
             return;
         };
@@ -379,7 +415,7 @@
             }
             StoreReply::Conflict { failed } => {
                 let uncertain = share.ledger.in_flight.as_ref().is_some_and(|flight| flight.uncertain);
-                if self.check_claim_in(&failed) {
+                if self.check_claim_in(request, &failed) {
                     return;
                 }
                 let (jobs, ends) = (self.keys.jobs(), self.keys.ends());
--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -344,7 +344,7 @@
                 continue;
             };
             if job.open.is_empty() {
-                self.jobs.remove(&id);
+                self.remove_job(&id);
             } else {
                 tracing::error!(job = id, "a job's key is gone while its tasks are open");
                 self.withdraw = true;
@@ -352,6 +352,13 @@
         }
     }
 
+    pub fn remove_job(&mut self, id: &str) {
+        if let Some(ix) = self.jobs.find(id) {
+            self.jobs.remove(id);
+            self.ledger.forget_job(ix);
+        }
+    }
+
     /// A cancelled job: nothing more starts, and what is open has to end.
     fn stop_all(&mut self, now: Millis, ix: Ix) {
         let Some(job) = self.jobs.get(ix) else {
--- a/src/pipeline/ledger.rs
+++ b/src/pipeline/ledger.rs
@@ -14,6 +14,8 @@
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// How often a chunk is written again for what nobody waits for.
+const REWRITE_MS: Millis = 1_500;
 /// Keeps a transaction well below the service's 64 KiB.
 const MAX_BYTES: usize = 40_000;
 
@@ -59,7 +61,25 @@
     pub done: Vec<String>,
 }
 
+impl Share {
+    /// Something is to be written that work or users wait for.
+    pub fn starts_wait(&self) -> bool {
+        !(self.ledger.starts.is_empty()
+            && self.ledger.finished.is_empty()
+            && self.ledger.hires.is_empty()
+            && self.roster.urgent.is_empty())
+    }
+}
+
 impl Ledger {
+    /// Nothing of this job is left to write. Its index may be given to another.
+    pub fn forget_job(&mut self, job: Ix) {
+        self.starts.retain(|&(other, _)| other != job);
+        self.chunks.retain(|&(other, _)| other != job);
+        self.finished.remove(&job);
+        self.cleanups.remove(&job);
+    }
+
     fn drafted(&mut self, job: Ix, chunk: u32) {
         self.starts.remove(&(job, chunk));
         self.chunks.remove(&(job, chunk));
@@ -123,10 +143,19 @@
         let starts = self.ledger.starts.clone();
         self.draft_chunks(keys, starts, &mut draft, &mut flight);
         draft.ops = max_ops.min(spare.max(draft.transaction.changes.len()));
-        let chunks = self.ledger.chunks.clone();
+        // Half of it for clean-ups, so that they are never put off for good.
+        let most = draft.ops;
+        draft.ops = most.min(draft.transaction.changes.len() + spare.div_ceil(2));
+        self.draft_cleanups(keys, &mut draft, &mut flight);
+        draft.ops = most;
+        let chunks = self.ledger.chunks.iter().copied();
+        let chunks = chunks.filter(|&(job, number)| {
+            let chunk = self.jobs.get(job).and_then(|job| job.chunks.get(number as usize));
+            chunk.is_none_or(|chunk| now >= chunk.drafted_at + REWRITE_MS)
+        });
+        let chunks = chunks.collect();
         self.draft_chunks(keys, chunks, &mut draft, &mut flight);
         self.draft_roster(keys, true, &mut draft, &mut flight);
-        self.draft_cleanups(keys, &mut draft, &mut flight);
         if draft.transaction.changes.is_empty() {
             return None;
         }
@@ -278,6 +307,7 @@
             let chunk = &mut job.chunks[number as usize];
             chunk.dirty = false;
             chunk.writing = true;
+            chunk.drafted_at = flight.sent;
             let key = keys.firing(&job.id, number);
             draft.require(key.clone(), chunk.version);
             // A cancel changes the job's key, so nothing starts after it.
@@ -377,7 +407,7 @@
             }
             if last {
                 let id = job.id.clone();
-                self.jobs.remove(&id);
+                self.remove_job(&id);
             } else {
                 self.ledger.cleanups.insert(ix);
             }
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -40,6 +40,8 @@
     pub dirty: bool,
     /// In the transaction now in flight.
     pub writing: bool,
+    /// When its last write was built.
+    pub drafted_at: Millis,
 }
 
 impl Chunk {
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -521,4 +521,23 @@
         share.place(20);
         assert_eq!(share.machines.get(machine).expect("there").open.len(), 1);
     }
+
+    /// Guards against an index that a job leaves behind in the ledger: it was
+    /// given to a smaller job, and writing its chunk ended the process.
+    #[test]
+    fn a_removed_job_leaves_nothing_to_write() {
+        let (mut share, _) = share();
+        share.merge_report(
+            10,
+            &report(1, 2, 5, vec![task(TaskState::Exited, Some(Why::Error))]),
+            Path::Sent,
+        );
+        let job = share.jobs.find("j-1").expect("known");
+        share.ledger.chunks.insert((job, 7));
+        share.ledger.cleanups.insert(job);
+        share.gone.push("j-1".into());
+        share.forget_gone();
+        assert!(share.jobs.is_empty());
+        assert!(share.ledger.chunks.is_empty() && share.ledger.starts.is_empty() && share.ledger.cleanups.is_empty());
+    }
 }
