Blame sick machines, not the jobs that fail on them

Every failure counted against its job, which was paused for up to a minute, and a job with two failures no longer spoke against a machine, so that no sick machine was ever given up. Ruled out: reservations for starving jobs, team limits (none), writes (none pending).

--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -416,12 +416,25 @@
                 machine.idle_since = now;
             }
             match outcome {
-                Outcome::Done => machine.failing.clear(),
+                Outcome::Done => {
+                    machine.failing.clear();
+                    machine.failures = 0;
+                }
                 Outcome::Error => {
-                    machine.rest_until = now + REST_MS;
-                    // A job that fails everywhere says nothing of the machine.
-                    if job.errors < 2 && !machine.failing.contains(&attempt.job) {
-                        machine.failing.push(attempt.job);
+                    // Who is to blame? The machine, if the job got on elsewhere
+                    // or others failed here too; else the job, until it is clear
+                    // that it fails everywhere.
+                    let others = machine.failing.iter().any(|&other| other != attempt.job);
+                    if !job.fails_everywhere() {
+                        machine.rest_until = now + REST_MS;
+                        if !machine.failing.contains(&attempt.job) {
+                            machine.failing.push(attempt.job);
+                        }
+                    }
+                    if !job.done.is_empty() {
+                        machine.failures += 1;
+                    } else if !others {
+                        job.errors += 1;
                     }
                 }
                 Outcome::Refused => machine.rest_until = now + 1_000,
@@ -436,13 +449,17 @@
                 job.done.insert(attempt.task);
             }
             Outcome::Error => {
-                job.errors += 1;
                 if !job.failed_on.contains(&attempt.machine) && job.failed_on.len() < 3 {
                     job.failed_on.push(attempt.machine);
                 } else {
                     job.failed_on.clear();
                 }
-                job.run_again(attempt.task, now + error_pause(job.errors));
+                let pause = if job.fails_everywhere() {
+                    error_pause(job.errors)
+                } else {
+                    0
+                };
+                job.run_again(attempt.task, now + pause);
             }
             Outcome::Refused => job.run_again(attempt.task, now + 500),
             Outcome::Stopped | Outcome::Lost => job.run_again(attempt.task, now),
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -73,6 +73,9 @@
         let unreached = |machine: &Machine| machine.misses >= MISSES_TO_GIVE_UP;
         let lost = self.machines.iter().filter(|(_, machine)| unreached(machine)).count();
         let many_lost = lost >= 3 && lost * 2 > heard.len();
+        let sick = |machine: &Machine| machine.failing.len() >= 2 || machine.failures >= 3;
+        let failing = self.machines.iter().filter(|(_, machine)| sick(machine)).count();
+        let many_sick = failing >= 3 && failing * 2 > heard.len();
         for ix in self.machines.indices() {
             let Some(machine) = self.machines.get_mut(ix) else {
                 continue;
@@ -97,7 +100,7 @@
                 && lapsed
             {
                 "never came up"
-            } else if machine.failing.len() >= 2 {
+            } else if sick(machine) && !many_sick {
                 "fails its tasks"
             } else if machine
                 .taken_at
@@ -124,7 +127,7 @@
             });
             // A job that keeps failing must not rent machines for all its tasks,
             // but it is tried again, so it needs one.
-            let waiting = if job.errors > 3 {
+            let waiting = if job.fails_everywhere() {
                 job.waiting().min(1)
             } else {
                 job.waiting()
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -119,11 +119,17 @@
         wall_ms > self.accepted_ms + OLD_MS
     }
 
+    /// It failed on several machines and never got on: most likely it was
+    /// submitted with a mistake.
+    pub fn fails_everywhere(&self) -> bool {
+        self.done.is_empty() && self.errors >= 4
+    }
+
     /// Whether one of its tasks, started again at `wall_ms`, would still end
     /// well before the job is due.
     pub fn has_slack(&self, wall_ms: u64) -> bool {
         let again = crate::millis(self.spec.estimate_s * 1.5) + SLACK_MS;
-        wall_ms + again < self.due_ms
+        wall_ms + again < self.due_ms && !self.old(wall_ms)
     }
 
     /// The next task to place, without taking it.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -91,6 +91,10 @@
                 let Some(job) = self.jobs.get_mut(ix) else {
                     break;
                 };
+                if job.fails_everywhere() && !job.open.is_empty() {
+                    // Tried again alone, for as long as its user lets it.
+                    break;
+                }
                 let Some(task) = job.peek(now) else {
                     break;
                 };
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -290,6 +290,10 @@
     /// A share of term 5 with one machine heard in session 1 and one job of a
     /// single task placed and written there.
     fn share() -> (Share, Ix) {
+        share_of(1)
+    }
+
+    fn share_of(tasks: u32) -> (Share, Ix) {
         let settings = Settings::parse(SAMPLE).expect("valid settings");
         let mut share = Share::new("pool", 5, &settings, &Policy::default());
         share.set_catalogue(&Catalogue {
@@ -307,7 +311,7 @@
             }],
         });
         let spec: JobSpec = serde_json::from_value(json!({"id":"j-1","lotType":"sort","consignor":"floor",
-            "saleFormat":"array","bidRank":"high","lots":1,"cores":4.0,"cards":0.0,"memGb":8.0,"catalog":"img",
+            "saleFormat":"array","bidRank":"high","lots":tasks,"cores":4.0,"cards":0.0,"memGb":8.0,"catalog":"img",
             "pullGb":1.0,"oneZone":false,"scatter":false,"loaner":false,"appraisedS":5.0,"tallyS":0.0,"ledgerS":0.0}))
         .expect("a job");
         let key = JobKey {
@@ -540,4 +544,52 @@
         assert!(share.jobs.is_empty());
         assert!(share.ledger.chunks.is_empty() && share.ledger.starts.is_empty() && share.ledger.cleanups.is_empty());
     }
+
+    /// One more task of the only job is placed, and fails.
+    fn fail_once(share: &mut Share, machine: Ix, now: Millis) {
+        share.place(now);
+        let attempt = share.machines.get(machine).expect("there").open[0];
+        share.close(now, attempt, Outcome::Error);
+    }
+
+    /// Guards against blaming jobs for sick machines (inc-c6c5): every job was
+    /// paused for up to a minute while machines stood idle, and no machine went.
+    #[test]
+    fn a_machine_is_blamed_for_jobs_that_got_on_elsewhere() {
+        let (mut share, machine) = share_of(40);
+        let job = share.jobs.find("j-1").expect("known");
+        let first = share.machines.get(machine).expect("there").open.clone();
+        share.close(0, first[0], Outcome::Done);
+        for attempt in share.machines.get(machine).expect("there").open.clone() {
+            share.close(0, attempt, Outcome::Lost);
+        }
+        for round in 1..=3 {
+            share.jobs.get_mut(job).expect("there").failed_on.clear();
+            fail_once(&mut share, machine, round * 10_000);
+            for attempt in share.machines.get(machine).expect("there").open.clone() {
+                share.close(0, attempt, Outcome::Lost);
+            }
+        }
+        assert_eq!(share.jobs.get(job).expect("there").errors, 0);
+        share.plan_fleet(40_000);
+        assert!(share.machines.get(machine).expect("there").condemned);
+    }
+
+    #[test]
+    fn a_job_that_fails_everywhere_is_tried_alone_and_spares_the_machines() {
+        let (mut share, machine) = share_of(40);
+        let job = share.jobs.find("j-1").expect("known");
+        for round in 0..6 {
+            for attempt in share.machines.get(machine).expect("there").open.clone() {
+                share.close(round * 70_000, attempt, Outcome::Error);
+            }
+            share.jobs.get_mut(job).expect("there").failed_on.clear();
+            share.place(round * 70_000 + 65_000);
+        }
+        assert!(share.jobs.get(job).expect("there").fails_everywhere());
+        assert!(share.machines.get(machine).expect("there").open.len() <= 1);
+        share.machines.get_mut(machine).expect("there").heard_at = Some(500_000);
+        share.plan_fleet(500_000);
+        assert!(!share.machines.get(machine).expect("there").condemned);
+    }
 }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -113,6 +113,8 @@
     pub idle_since: Millis,
     /// Jobs whose tasks failed here since the last success.
     pub failing: Vec<Ix>,
+    /// Failures since then of jobs that got on elsewhere.
+    pub failures: u32,
     pub rest_until: Millis,
 }
 
@@ -197,6 +199,7 @@
             used: Room::default(),
             idle_since: now,
             failing: Vec::new(),
+            failures: 0,
             rest_until: 0,
         }
     }
