Rent no ordinary machines for tasks that have time to follow

Tasks without a deadline now count for ordinary machines only by the time they have left after a boot, and a class with an aim for its start has to start by it.

--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -27,6 +27,8 @@
     pub wall: Millis,
     /// In which time jobs of a class should be complete.
     pub due: BTreeMap<String, Millis>,
+    /// In which time their tasks should be started.
+    pub start_within: BTreeMap<String, Millis>,
     /// After this much time without an answer a worker has dropped its tasks.
     pub lapse_ms: Millis,
     pub chunk_tasks: u32,
@@ -80,25 +82,25 @@
         for zone in &params.zones {
             zones.intern(zone);
         }
-        let mut due: BTreeMap<String, Millis> = BTreeMap::new();
-        for objective in params
-            .objectives
-            .iter()
-            .filter(|objective| objective.kind == "finished")
-        {
-            if let (Some(class), Some(within_s)) = (&objective.class, objective.within_s) {
-                let within = crate::millis(within_s);
-                let least = due.entry(class.clone()).or_insert(within);
-                *least = within.min(*least);
+        let within = |kind: &str| {
+            let mut least: BTreeMap<String, Millis> = BTreeMap::new();
+            for objective in params.objectives.iter().filter(|objective| objective.kind == kind) {
+                if let (Some(class), Some(within_s)) = (&objective.class, objective.within_s) {
+                    let within = crate::millis(within_s);
+                    let least = least.entry(class.clone()).or_insert(within);
+                    *least = within.min(*least);
+                }
             }
-        }
+            least
+        };
         Share {
             name: name.into(),
             term,
             policy: policy.clone(),
             report_s: params.workers.report_s,
             wall: 0,
-            due,
+            due: within("finished"),
+            start_within: within("wait"),
             // Drift of both clocks, and a second for good measure.
             lapse_ms: crate::millis(params.workers.lease_s * 1.002) + 1_000,
             chunk_tasks: chunk_tasks(params.state.value_kb),
@@ -305,6 +307,7 @@
                 images: &mut self.images,
                 classes: &mut self.classes,
                 due: &self.due,
+                start_within: &self.start_within,
             };
             match door.admit(key, version, self.chunk_tasks) {
                 Some(job) => {
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -139,10 +139,18 @@
             let lasting = |part: f64| wanted * job.spec.estimate_s / (job.spec.estimate_s + part * boot_s).max(0.001);
             let entry = team_wants.entry((job.class, job.team)).or_default();
             entry.0 += wanted;
-            entry.1 += lasting(match job.priority() {
+            let part = match job.priority() {
                 Priority::Low => ORDINARY_BOOT_LOW,
                 _ => ORDINARY_BOOT,
-            });
+            };
+            // What has time can follow on machines that others leave.
+            let time_s = job.start_by_ms.saturating_sub(self.wall) as f64 / 1000.0 - boot_s;
+            let enough = if job.spec.deadline_s.is_none() && time_s > 0.0 {
+                wanted * job.spec.estimate_s / (job.spec.estimate_s + time_s).max(0.001)
+            } else {
+                wanted
+            };
+            entry.1 += lasting(part).min(enough);
             entry.2 += lasting(SPOT_BOOT);
         }
         for demand in self.fleet.demand.values_mut() {
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -199,6 +199,8 @@
     pub classes: &'a mut crate::ids::Names,
     /// In which time jobs of a class should be complete.
     pub due: &'a BTreeMap<String, Millis>,
+    /// In which time their tasks should be started.
+    pub start_within: &'a BTreeMap<String, Millis>,
 }
 
 impl Door<'_> {
@@ -226,6 +228,9 @@
             // No aim of its own: in order of arrival behind those soon due.
             None => key.accepted_ms + NO_AIM_MS,
         };
+        let latest_start = due_ms.saturating_sub(crate::millis(spec.estimate_s));
+        let start_within = self.start_within.get(&spec.class);
+        let start_by_ms = start_within.map_or(latest_start, |within| latest_start.min(key.accepted_ms + within));
         Some(Job {
             id: spec.id.clone(),
             team,
@@ -234,7 +239,7 @@
             shape,
             accepted_ms: key.accepted_ms,
             due_ms,
-            start_by_ms: due_ms.saturating_sub(crate::millis(spec.estimate_s)),
+            start_by_ms,
             last_start_ms: 0,
             key_version: version,
             ended: key.ended,
