--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -204,3 +204,95 @@
     assert!(done * 2 >= large.len(), "{done} of the large jobs done");
     assert!(world.jobs.iter().filter(|job| job.told == Told::Done).count() > 100);
 }
+
+/// At size, work is bounded by what there is to do: the owner answers few
+/// reports itself, machines are written many at a time, and messages between
+/// controllers grow with time, not with reports.
+#[test]
+fn two_thousand_machines_cost_no_more_than_there_is_to_do() {
+    let mut world = World::at_size(8, 5);
+    for index in 0..20 {
+        let mut spec = World::plain_spec();
+        spec.team = if index % 2 == 0 { "red" } else { "blue" }.into();
+        spec.tasks = 300;
+        spec.cpus = 8.0;
+        world.submit(2_000 + index * 100, spec);
+    }
+    world.run(60_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    let (machines, seconds) = (world.machines(), 60);
+    assert!(machines > 1_800, "{machines} machines");
+    let sent = &world.sent;
+    // The service's limits, all controllers together.
+    assert!(sent.store_writes < 80 * seconds, "{sent:?}");
+    assert!(sent.store_requests < 200 * seconds, "{sent:?}");
+    // Two thousand machines are written well below one key each.
+    assert!(world.stored("kept/pool/roster/") * 16 < machines);
+    assert!(sent.report_answers > 5 * machines, "{sent:?}");
+    assert!(sent.owner_answers * 5 < sent.report_answers, "{sent:?}");
+    // Twenty ticks a second, each peer with the owner, both ways, and beats.
+    assert!(sent.messages < 4 * 20 * 5 * seconds, "{sent:?}");
+    // A start each, a question each, and little beside.
+    let starts = world.starts as usize;
+    assert!(
+        sent.direct_commands < 3 * (machines + starts),
+        "{sent:?}, {starts} starts"
+    );
+    world.run(150_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.jobs.iter().all(|job| job.told == Told::Done));
+}
+
+/// Users reach only controllers that say they are well; one that is cut off from
+/// all that could answer them must not say so.
+#[test]
+fn a_controller_cut_from_all_but_workers_and_users_forgets_nobody() {
+    let cut = |node| Trouble::CutFromAllButWorkers { node, ms: 120_000 };
+    check_with(9, 5, vec![(30_000, cut(OWNER)), (60_000, cut(0)), (61_000, cut(1))]);
+    check_with(10, 3, vec![(20_000, cut(OWNER)), (90_000, cut(2))]);
+}
+
+#[test]
+fn machines_that_are_heard_but_not_reached_are_replaced() {
+    let deaf = |at| (at, Trouble::MachineDeaf { ms: 400_000 });
+    let troubles: Vec<_> = (1..12u64).map(|step| deaf(step * 4_000)).collect();
+    let mut world = World::new(11, 5, 24, troubles);
+    world.run(280_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    // Nothing waits for the end of the trouble.
+    let open = world
+        .jobs
+        .iter()
+        .filter(|job| matches!(job.told, Told::Accepted))
+        .count();
+    assert_eq!(open, 0, "jobs wait for machines that are not reached");
+    assert_eq!(world.deaf_machines(), 0);
+}
+
+#[test]
+fn late_copies_of_reports_prove_nothing_to_an_owner_just_elected() {
+    for seed in 12..18 {
+        let mut troubles = vec![(5_000, Trouble::LateCopies { ms: 120_000 })];
+        for at in (15_000..120_000).step_by(9_000) {
+            troubles.push((at, Trouble::Crash { node: OWNER }));
+            troubles.push((at + 500, Trouble::MachineTaken));
+            troubles.push((at + 2_000, Trouble::MachineBlinks));
+        }
+        check_with(seed, 5, troubles);
+    }
+}
+
+#[test]
+fn controllers_back_at_once_are_new_ones_also_in_mid_election() {
+    for seed in 20..26 {
+        let mut troubles = Vec::new();
+        for at in (10_000..100_000).step_by(7_000) {
+            troubles.push((at, Trouble::Blink { node: OWNER }));
+            // While the others ask for the lease, claim, read and begin to command.
+            for (node, after) in [(0, 60), (1, 4_020), (2, 4_060), (3, 4_150), (4, 4_400)] {
+                troubles.push((at + after + seed * 3, Trouble::Blink { node }));
+            }
+        }
+        check_with(seed, 5, troubles);
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -259,6 +259,22 @@
     pub broken: Vec<String>,
     pub starts: u64,
     pub calm_at: u64,
+    pub sent: Sent,
+    /// Machines to be had of each zone and kind.
+    capacity: usize,
+    team_cpus: f64,
+}
+
+/// What controllers have sent, by count.
+#[derive(Debug, Default)]
+pub struct Sent {
+    pub store_requests: usize,
+    pub store_writes: usize,
+    pub messages: usize,
+    pub direct_commands: usize,
+    /// Reports answered by the owner itself, and all.
+    pub owner_answers: usize,
+    pub report_answers: usize,
 }
 
 impl World {
@@ -302,6 +318,9 @@
             done_tasks: BTreeSet::new(),
             broken: Vec::new(),
             starts: 0,
+            sent: Sent::default(),
+            capacity: 4,
+            team_cpus: TEAM_CPUS,
             calm_at: troubles
                 .iter()
                 .map(|(at, trouble)| at + trouble.lasts())
@@ -356,6 +375,24 @@
         }
     }
 
+    /// Room for some thousand machines, and teams that may use them.
+    pub fn at_size(seed: u64, nodes: usize) -> World {
+        let mut world = World::new(seed, nodes, 0, Vec::new());
+        world.capacity = 1_000;
+        world.team_cpus = 20_000.0;
+        world
+    }
+
+    /// Machines that no answer reaches, and that are still rented.
+    pub fn deaf_machines(&self) -> usize {
+        let deaf = |worker: &&Worker| worker.up(self.now) && self.now < worker.deaf_until;
+        self.workers.values().filter(deaf).count()
+    }
+
+    pub fn machines(&self) -> usize {
+        self.workers.values().filter(|worker| worker.up(self.now)).count()
+    }
+
     /// Adds a job made for a test.
     pub fn submit(&mut self, submit_at: u64, spec: JobSpec) -> usize {
         let index = self.jobs.len();
@@ -459,6 +496,10 @@
         match output {
             Output::Answer { request, answer } => {
                 let delay = self.delay();
+                if let Some(Waiting::Report { .. }) = self.requests.get(&(node, request)) {
+                    self.sent.report_answers += 1;
+                    self.sent.owner_answers += usize::from(self.owner() == Some(node));
+                }
                 match self.requests.remove(&(node, request)) {
                     Some(Waiting::User { job, kind }) => {
                         self.at(self.now + delay, Happening::UserAnswered { job, kind, answer });
@@ -471,6 +512,7 @@
                 }
             }
             Output::Peer { node: to, message } => {
+                self.sent.messages += 1;
                 let Some(to) = self.nodes.iter().position(|other| other.name == to) else {
                     return;
                 };
@@ -493,6 +535,8 @@
                 );
             }
             Output::Store { call, request } => {
+                self.sent.store_requests += 1;
+                self.sent.store_writes += request.writes() as usize;
                 if self.now < self.nodes[node].store_cut {
                     // Held back: applied late, when nobody waits any more.
                     if matches!(request, StoreRequest::Transact(_)) && self.rng.random_bool(0.5) {
@@ -564,6 +608,7 @@
                 address,
                 commands,
             } => {
+                self.sent.direct_commands += 1;
                 let delay = self.delay();
                 let cut = self
                     .workers
@@ -688,7 +733,9 @@
             .filter(|&other| other != node)
             .map(|other| format!("[[seeds]]\nnode = \"n{other}\"\nlocation = \"north\"\naddress = \"127.0.0.1:9\"\n"))
             .collect();
+        let limit = format!("cpus_max = {:.1}", self.team_cpus);
         let text = SETTINGS.replace("NODE", &name).replace("PEERS", &peers);
+        let text = text.replace("cpus_max = 24.0", &limit);
         let settings = Settings::parse(&text).expect("valid settings");
         self.nodes[node].life = life;
         self.nodes[node].controller = Some(Controller::new(settings, Policy::default(), life));
@@ -866,7 +913,7 @@
                     .values()
                     .filter(|w| !w.gone && w.zone == hire.zone && w.spot == hire.spot)
                     .count();
-                let count = (hire.count as usize).min(4usize.saturating_sub(there));
+                let count = (hire.count as usize).min(self.capacity.saturating_sub(there));
                 if count == 0 {
                     return CloudReply::NoCapacity;
                 }
@@ -1163,7 +1210,7 @@
                     Some(job.spec.cpus * machines.len() as f64)
                 })
                 .sum();
-            if used > TEAM_CPUS + 1e-6 {
+            if used > self.team_cpus + 1e-6 {
                 self.broken.push(format!("quota: {team} uses {used} at {now}"));
             }
         }
