Say the doubt about most machines and the open hires once; keep two bounds exact

Three copies of one guard in condemn_broken become one, and the requests not answered yet are resolved in one place. Two bounds were looser than they said: max_machines left out machines given up and not yet gone, and addresses without a connection could be dropped in place of connections, so that more were kept than meant.

--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -65,17 +65,17 @@
             .filter(|(_, at)| now > at + silent_ms)
             .map(|(ix, _)| *ix)
             .collect();
-        // When many fall silent at once it may be this controller that is cut
-        // off, and deleting live machines is the costliest mistake: only those
-        // go whose worker's lease has lapsed anyway.
-        let many = silent.len() >= 3 && silent.len() * 2 > heard.len();
-        // Likewise when many seem not to be reached.
+        // When most fall silent, seem not to be reached, or fail their tasks, all
+        // at once, it may be this controller that is cut off, or the jobs that are
+        // at fault, and deleting live machines is the costliest mistake. Silent
+        // ones then go only once their worker's lease has lapsed anyway.
+        let most = |count: usize| count >= 3 && count * 2 > heard.len();
+        let count = |bad: &dyn Fn(&Machine) -> bool| self.machines.iter().filter(|(_, machine)| bad(machine)).count();
         let unreached = |machine: &Machine| machine.misses >= MISSES_TO_GIVE_UP;
-        let lost = self.machines.iter().filter(|(_, machine)| unreached(machine)).count();
-        let many_lost = lost >= 3 && lost * 2 > heard.len();
         let sick = |machine: &Machine| machine.failing.len() >= 2 || machine.failures >= 3;
-        let failing = self.machines.iter().filter(|(_, machine)| sick(machine)).count();
-        let many_sick = failing >= 3 && failing * 2 > heard.len();
+        let most_silent = most(silent.len());
+        let most_unreached = most(count(&unreached));
+        let most_sick = most(count(&sick));
         for ix in self.machines.indices() {
             let Some(machine) = self.machines.get_mut(ix) else {
                 continue;
@@ -87,20 +87,20 @@
                 .as_ref()
                 .map_or(60.0, |info| info.boot_s);
             let lapsed = now > machine.answered_at + self.lapse_ms;
-            let reason = if silent.contains(&ix) && (!many || lapsed) {
+            let reason = if silent.contains(&ix) && (!most_silent || lapsed) {
                 "silent"
             } else if machine.unlisted && machine.heard_at.is_some_and(|at| now > at + unlisted_ms) {
                 // Missing from a list proves nothing, but together with a late
                 // report it is reason enough; the deletion is the proof.
                 "silent and no longer listed"
-            } else if unreached(machine) && !many_lost {
+            } else if unreached(machine) && !most_unreached {
                 "heard, but not reached"
             } else if machine.heard_at.or(machine.known_up_at).is_none()
                 && now > machine.hired_at + crate::millis(boot_s * BOOT_PATIENCE) + 10_000
                 && lapsed
             {
                 "never came up"
-            } else if sick(machine) && !many_sick {
+            } else if sick(machine) && !most_sick {
                 "fails its tasks"
             } else if machine
                 .taken_at
@@ -245,11 +245,12 @@
                 left = left.saturating_sub(fits);
             }
         }
-        let mut total = places.len() as u32;
+        // Those given up are there until the cloud says that they are gone.
+        let mut total = self.machines.len() as u32 + self.asked_for().map(|(_, count)| count).sum::<u32>();
         for (offer, count) in new_machines {
             let most = (self.policy.max_machines as u32).saturating_sub(total);
             let mut left = count.min(most);
-            let mut open = self.open_hires(offer);
+            let mut open = self.asked_for().filter(|&(other, _)| other == offer).count() as u32;
             while left > 0 && open < MAX_OPEN_HIRES {
                 let count = left.min(MAX_HIRE);
                 self.hire(offer, count);
@@ -279,15 +280,11 @@
                 });
             }
         }
-        let asked = self.fleet.hires.iter().map(|hire| &hire.value);
-        for hire in asked.chain(&self.ledger.hires) {
-            let (Some(type_ix), Some(zone)) = (self.types.get(&hire.machine_type), self.zones.get(&hire.zone)) else {
-                continue;
-            };
-            if let Some(info) = &self.type_info[type_ix as usize] {
-                places.extend((0..hire.count).map(|_| Place {
+        for (offer, count) in self.asked_for() {
+            if let Some(info) = &self.type_info[offer.0 as usize] {
+                places.extend((0..count).map(|_| Place {
                     machine: None,
-                    offer: (type_ix, zone, hire.spot),
+                    offer,
                     idle: true,
                     room: info.room,
                     used: false,
@@ -301,14 +298,14 @@
         places
     }
 
-    fn open_hires(&self, (type_ix, zone, spot): Offer) -> u32 {
-        let asked = self.fleet.hires.iter().map(|hire| &hire.value);
-        let same = asked.chain(&self.ledger.hires).filter(|hire| {
-            hire.spot == spot
-                && self.types.get(&hire.machine_type) == Some(type_ix)
-                && self.zones.get(&hire.zone) == Some(zone)
-        });
-        same.count() as u32
+    /// Requests that are not answered yet: what for, and how many machines.
+    fn asked_for(&self) -> impl Iterator<Item = (Offer, u32)> {
+        let hires = self.fleet.hires.iter().map(|hire| &hire.value);
+        hires.chain(&self.ledger.hires).filter_map(|hire| {
+            let type_ix = self.types.get(&hire.machine_type)?;
+            let zone = self.zones.get(&hire.zone)?;
+            Some(((type_ix, zone, hire.spot), hire.count))
+        })
     }
 
     fn return_idle(&mut self, now: Millis, places: &[Place]) {
--- a/src/runtime/client.rs
+++ b/src/runtime/client.rs
@@ -78,9 +78,14 @@
 
     fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock().ok()?;
-        let kept = idle.get_mut(&address)?;
+        let mut kept = idle.remove(&address)?;
         while let Some(connection) = kept.pop() {
             if connection.is_ready() {
+                // No address without connections stays: one would be dropped in
+                // place of a connection when there are too many.
+                if !kept.is_empty() {
+                    idle.insert(address, kept);
+                }
                 return Some(connection);
             }
         }
@@ -96,8 +101,9 @@
         }
         if idle.values().map(Vec::len).sum::<usize>() >= MAX_IDLE_TOTAL {
             // Any of them: all are as good as gone if they are not used again.
-            let other = idle.keys().find(|&&other| other != address).copied();
-            other.and_then(|other| idle.remove(&other));
+            if let Some(other) = idle.keys().find(|&&other| other != address).copied() {
+                idle.remove(&other);
+            }
         }
         let kept = idle.entry(address).or_default();
         if kept.len() < MAX_IDLE {
