Give nothing to machines late with a report or an answer; wait for silent zones

Where more than half of a zone's machines fall silent they are waited for 1.5 boot times longer, count for nothing meanwhile, and nothing is rented there.

--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -492,7 +492,8 @@
             let Some(machine) = share.machines.get_mut(ix) else {
                 continue;
             };
-            if commands.is_empty() && machine.heard_at.is_some() && machine.misses == 0 {
+            let well = machine.heard_at.is_some() && machine.misses == 0 && !machine.unanswered;
+            if commands.is_empty() && well {
                 continue;
             }
             room -= 1;
@@ -560,9 +561,12 @@
                 _ => {}
             }
             if matches!(reply, WorkerReply::Lost | WorkerReply::NotSent) {
-                // It will report, or fall silent; either way there is no hurry.
                 machine.push.not_before = now + 2_000;
-                if machine.heard_at.is_none() {
+                // Asked once more: it may be the way there that failed. After
+                // that it will report or fall silent, so there is no hurry.
+                let again = !std::mem::replace(&mut machine.unanswered, true);
+                if again || machine.heard_at.is_none() {
+                    machine.via = None;
                     share.to_push.extend(known);
                 }
             }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 use crate::ids::Ix;
 use crate::placement::Shape;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A hire's key, written before the cloud is asked, so that a successor can
 /// repeat the same request and learn what came of it.
@@ -54,6 +54,8 @@
     next_request: u64,
     /// Offers refused lately, and until when they are left alone.
     pub refused: BTreeMap<Offer, Millis>,
+    /// Zones most of whose machines have fallen silent: most likely cut off.
+    pub silent_zones: BTreeSet<Ix>,
     pub demand: BTreeMap<Ix, Demand>,
     pub planned_at: Millis,
     pub listed_at: Millis,
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -11,6 +11,9 @@
 /// A machine may take several times its boot time; after this much more it is
 /// taken for one that never comes up.
 const BOOT_PATIENCE: f64 = 3.0;
+/// A zone that fell silent is waited for this many boot times longer than a
+/// machine that did so alone: until replacements would be there.
+const REPLACED_BOOT: f64 = 1.5;
 /// How much of its boot time a new machine has to pay back before it is worth
 /// renting for tasks that wait now: a spot machine soon, an ordinary one later.
 const SPOT_BOOT: f64 = 0.2;
@@ -65,15 +68,24 @@
             .filter(|(_, at)| now > at + silent_ms)
             .map(|(ix, _)| *ix)
             .collect();
-        // When most fall silent, seem not to be reached, or fail their tasks, all
-        // at once, it may be this controller that is cut off, or the jobs that are
-        // at fault, and deleting live machines is the costliest mistake. Silent
-        // ones then go only once their worker's lease has lapsed anyway.
-        let most = |count: usize| count >= 3 && count * 2 > heard.len();
+        // When most seem not to be reached, or fail their tasks, all at once, it
+        // may be this controller that is cut off, or the jobs that are at fault,
+        // and deleting live machines is the costliest mistake. The same holds for
+        // those of a zone that fall silent together: they keep their images and
+        // need no boot, so they are waited for as long as new ones would take.
+        let most_of = |count: usize, all: usize| count >= 3 && count * 2 > all;
+        let most = |count: usize| most_of(count, heard.len());
+        let in_zone = |zone: Ix, ix: Ix| self.machines.get(ix).is_some_and(|machine| machine.zone == zone);
+        let zones = 0..self.zones.len() as Ix;
+        self.fleet.silent_zones = zones
+            .filter(|&zone| {
+                let all = heard.iter().filter(|&&(ix, _)| in_zone(zone, ix)).count();
+                most_of(silent.iter().filter(|&&ix| in_zone(zone, ix)).count(), all)
+            })
+            .collect();
         let count = |bad: &dyn Fn(&Machine) -> bool| self.machines.iter().filter(|(_, machine)| bad(machine)).count();
         let unreached = |machine: &Machine| machine.misses >= MISSES_TO_GIVE_UP;
         let sick = |machine: &Machine| machine.failing.len() >= 2 || machine.failures >= 3;
-        let most_silent = most(silent.len());
         let most_unreached = most(count(&unreached));
         let most_sick = most(count(&sick));
         for ix in self.machines.indices() {
@@ -87,7 +99,13 @@
                 .as_ref()
                 .map_or(60.0, |info| info.boot_s);
             let lapsed = now > machine.answered_at + self.lapse_ms;
-            let reason = if silent.contains(&ix) && (!most_silent || lapsed) {
+            let patience = silent_ms + crate::millis(boot_s * REPLACED_BOOT);
+            let last_sign = machine.heard_at.or(machine.known_up_at);
+            machine.silent = silent.contains(&ix);
+            let reason = if machine.silent
+                && (!self.fleet.silent_zones.contains(&machine.zone)
+                    || last_sign.is_some_and(|at| now > at + patience) && lapsed)
+            {
                 "silent"
             } else if machine.unlisted && machine.heard_at.is_some_and(|at| now > at + unlisted_ms) {
                 // Missing from a list proves nothing, but together with a late
@@ -95,7 +113,7 @@
                 "silent and no longer listed"
             } else if unreached(machine) && !most_unreached {
                 "heard, but not reached"
-            } else if machine.heard_at.or(machine.known_up_at).is_none()
+            } else if last_sign.is_none()
                 && now > machine.hired_at + crate::millis(boot_s * BOOT_PATIENCE) + 10_000
                 && lapsed
             {
@@ -267,7 +285,7 @@
     fn places(&self) -> Vec<Place> {
         let mut places = Vec::with_capacity(self.machines.len());
         for (ix, machine) in self.machines.iter() {
-            if machine.condemned || machine.taken_at.is_some() || machine.group.is_none() {
+            if machine.condemned || machine.silent || machine.taken_at.is_some() || machine.group.is_none() {
                 continue;
             }
             if let Some(info) = &self.type_info[machine.type_ix as usize] {
@@ -336,6 +354,10 @@
                 continue;
             }
             for &zone in &info.zones {
+                // New ones there could not be reached either.
+                if self.fleet.silent_zones.contains(&zone) {
+                    continue;
+                }
                 for spot in [true, false] {
                     let price = match (spot, info.spot_price) {
                         (true, Some(price)) => price,
@@ -387,6 +409,41 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::controller::share_with;
+
+    /// Guards against deleting a zone that is cut off for a minute: all its
+    /// machines were replaced seconds before they were heard again.
+    #[test]
+    fn a_zone_that_falls_silent_is_waited_for_and_a_machine_alone_is_not() {
+        let mut share = share_with(1, &[("small", 8.0)], 1, true);
+        for index in 0..8 {
+            let zone = if index < 4 { "north" } else { "south" };
+            let ix = share.add_machine(0, &format!("host-{index}"), "small", zone, true);
+            let machine = share.machines.get_mut(ix).expect("there");
+            // One of the south and all of the north fall silent.
+            machine.heard_at = Some(if index < 5 { 0 } else { 60_000 });
+        }
+        let given_up = |share: &Share| -> Vec<String> {
+            let machines = share.machines.iter().map(|(_, machine)| machine);
+            let condemned = machines.filter(|machine| machine.condemned);
+            condemned.map(|machine| machine.name.clone()).collect()
+        };
+        let silent_ms = crate::millis(share.policy.silent_reports * share.report_s * 1.25);
+        share.condemn_broken(silent_ms + 1);
+        assert_eq!(given_up(&share), ["host-4"]);
+        let north = share.zones.get("north").expect("known");
+        assert!(share.fleet.silent_zones.contains(&north));
+        assert!(
+            share
+                .machines
+                .iter()
+                .all(|(_, machine)| machine.silent == (machine.zone == north || machine.condemned))
+        );
+        // Until new ones would be there; the type boots for 5 s.
+        let patience = silent_ms + 7_500;
+        share.condemn_broken(patience.max(share.lapse_ms) + 1);
+        assert_eq!(given_up(&share).len(), 5);
+    }
 
     #[test]
     fn the_target_covers_what_waits_and_the_mean_with_headroom() {
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -86,6 +86,11 @@
     /// Last report that surely was sent in this term: it carried our token, or
     /// answered a direct command. Anything else may be a late copy.
     pub heard_at: Option<Millis>,
+    /// Its next report comes by then at the latest. A later one means that it
+    /// hangs or is cut off, and it gets nothing new to run.
+    pub report_due: Millis,
+    /// A direct command since its last report went unanswered.
+    pub unanswered: bool,
     /// Known to have been up at this time, though not heard in this term.
     pub known_up_at: Option<Millis>,
     /// The last answer called for something that the next report must show.
@@ -99,6 +104,8 @@
     pub doubt: u64,
     /// When the cloud takes it away, if it said so.
     pub taken_at: Option<Millis>,
+    /// Not heard for so long that it counts for nothing until it is again.
+    pub silent: bool,
     /// Given up: no new tasks; to be deleted.
     pub condemned: bool,
     pub push: Push,
@@ -184,12 +191,15 @@
             seq: 0,
             token: 0,
             heard_at: None,
+            report_due: 0,
+            unanswered: false,
             known_up_at: None,
             expecting: false,
             misses: 0,
             answered_at: now,
             doubt: 0,
             taken_at: None,
+            silent: false,
             condemned: false,
             push: Push::default(),
             via: None,
@@ -209,6 +219,8 @@
     pub fn usable(&self, now: Millis) -> bool {
         self.written
             && self.heard_at.is_some()
+            && now <= self.report_due
+            && !self.unanswered
             && self.taken_at.is_none()
             && !self.condemned
             && self.misses < MISSES_TO_REST
