Close connections after their answer when few are left

Cause: workers and users keep their connections between requests, and at the limit nothing more is accepted. Now a connection is closed after its answer while less than an eighth are free. The test has 8 clients that never close and room for 3; without the change it hangs.

--- a/src/runtime/front.rs
+++ b/src/runtime/front.rs
@@ -21,15 +21,22 @@
 const MAX_REPORT: usize = 1024 * 1024;
 const IDLE: Duration = Duration::from_secs(90);
 
+/// With less than this part of the connections free, each is closed after its
+/// answer. Workers and users keep theirs between requests, and where few
+/// controllers are left the rest would wait for one until their leases are over.
+const SHORT_PART: usize = 8;
+
 pub struct Front {
-    pub urgent: mpsc::Sender<Event>,
-    pub users: mpsc::Sender<Event>,
+    urgent: mpsc::Sender<Event>,
+    users: mpsc::Sender<Event>,
+    most: usize,
+    room: Arc<Semaphore>,
 }
 
-pub async fn serve(listener: TcpListener, most: u32, front: Front) {
+pub async fn serve(listener: TcpListener, front: Front) {
     let acceptor = Bounded {
         listener,
-        room: Arc::new(Semaphore::new(most as usize)),
+        room: front.room.clone(),
     };
     let server = Server::new_with_acceptor(acceptor).idle_timeout(IDLE);
     if let Err(error) = server.run(front).await {
@@ -73,6 +80,9 @@
         if let Some(seconds) = answer.retry_after_s {
             response = response.header("Retry-After", seconds.to_string());
         }
+        if self.room.available_permits() < self.most.div_ceil(SHORT_PART) {
+            response = response.header("Connection", "close");
+        }
         Ok(response.body(answer.body))
     }
 }
@@ -87,6 +97,18 @@
 }
 
 impl Front {
+    /// `most`: connections served at once.
+    pub fn new(urgent: mpsc::Sender<Event>, users: mpsc::Sender<Event>, most: u32) -> Front {
+        let most = most as usize;
+        let room = Arc::new(Semaphore::new(most));
+        Front {
+            urgent,
+            users,
+            most,
+            room,
+        }
+    }
+
     async fn ask(&self, ask: Ask) -> Answer {
         self.send(&self.users, |reply| Event::Ask { ask, reply }).await
     }
@@ -179,3 +201,40 @@
         self.stream.is_write_vectored()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    /// Guards against connections kept open for the next report while others
+    /// wait for one: with one controller left, the workers that came last found
+    /// no room until their leases had lapsed.
+    #[tokio::test(flavor = "current_thread")]
+    async fn more_clients_than_connections_all_get_their_answer() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let (urgent, mut events) = mpsc::channel(16);
+        let (users, _) = mpsc::channel(16);
+        tokio::spawn(serve(listener, Front::new(urgent, users, 3)));
+        tokio::spawn(async move {
+            while let Some(event) = events.recv().await {
+                if let Event::Health { reply } = event {
+                    let _ = reply.send(text(200, ""));
+                }
+            }
+        });
+        // None of them closes its connection.
+        let mut kept = Vec::new();
+        for _ in 0..8 {
+            let mut client = TcpStream::connect(address).await.expect("connected");
+            let request = b"GET /healthz HTTP/1.1\r\nHost: here\r\n\r\n";
+            client.write_all(request).await.expect("sent");
+            let mut answer = [0; 12];
+            let read = tokio::time::timeout(Duration::from_secs(20), client.read_exact(&mut answer));
+            read.await.expect("answered").expect("read");
+            assert_eq!(&answer, b"HTTP/1.1 200");
+            kept.push(client);
+        }
+    }
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -61,12 +61,9 @@
     let (users, mut user_events) = mpsc::channel(USER_QUEUE);
     let most =
         settings.params.limits.max_connections - RESERVED_CONNECTIONS.min(settings.params.limits.max_connections / 2);
-    let front = front::Front {
-        urgent: urgent.clone(),
-        users,
-    };
+    let front = front::Front::new(urgent.clone(), users, most);
     let listener = tokio::net::TcpListener::bind(settings.listen).await?;
-    tokio::spawn(front::serve(listener, most, front));
+    tokio::spawn(front::serve(listener, front));
     let peer_listener = tokio::net::TcpListener::bind(settings.peer_listen).await?;
     tokio::spawn(links::accept(peer_listener, urgent.clone()));
     let mut links: HashMap<String, mpsc::Sender<Message>> = HashMap::new();
