Count the silence of machines from when the owner hears again

Cause: an owner that could not act, in an outage of the state service, answers no reports, and when it acts again every machine has been silent for all that time. The same holds for an owner that stood still. Change: silence, also of machines that never came up, counts from the end of such a gap at the earliest. Both new tests fail without it.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -174,6 +174,8 @@
     claimed_at: Millis,
     worker_heard_at: Millis,
     looked_over_at: Millis,
+    /// When it last acted as the owner.
+    acted_at: Millis,
     placed_at: Millis,
     place_wanted: bool,
     counts_at: Millis,
@@ -233,6 +235,7 @@
             claimed_at: 0,
             worker_heard_at: 0,
             looked_over_at: 0,
+            acted_at: 0,
             placed_at: 0,
             place_wanted: false,
             counts_at: 0,
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -27,6 +27,9 @@
 /// gives the share up for another to take.
 const DEAF_MS: Millis = 4_000;
 const DEAF_HOLD_OFF_MS: Millis = 6_000;
+/// After this long without acting (the state service was out, or this process
+/// stood still) the silence of machines counts from now on.
+const UNHEARD_MS: Millis = 1_500;
 /// Loading is given up when nothing was read for this long: a full store that
 /// answers slowly takes its time, and beginning anew would take as long again.
 const LOAD_PATIENCE_MS: Millis = 5_000;
@@ -317,6 +320,10 @@
             return;
         };
         share.wall = self.wall;
+        if self.now > self.acted_at + UNHEARD_MS {
+            share.hearing_since = self.now;
+        }
+        self.acted_at = self.now;
         if self.now >= self.looked_over_at + LOOK_OVER_EVERY_MS {
             self.looked_over_at = self.now;
             share.close_lapsed(self.now);
--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -23,6 +23,8 @@
     pub term: u64,
     pub policy: Policy,
     pub report_s: f64,
+    /// Since when the owner has taken reports without a break.
+    pub hearing_since: Millis,
     /// The time of day of the step now going on.
     pub wall: Millis,
     /// In which time jobs of a class should be complete.
@@ -98,6 +100,7 @@
             term,
             policy: policy.clone(),
             report_s: params.workers.report_s,
+            hearing_since: 0,
             wall: 0,
             due: within("finished"),
             start_within: within("wait"),
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -61,7 +61,7 @@
         let heard = self
             .machines
             .iter()
-            .filter_map(|(ix, m)| Some((ix, m.heard_at.or(m.known_up_at)?)));
+            .filter_map(|(ix, m)| Some((ix, m.heard_at.or(m.known_up_at)?.max(self.hearing_since))));
         let heard: Vec<(Ix, Millis)> = heard.collect();
         let silent: BTreeSet<Ix> = heard
             .iter()
@@ -101,13 +101,16 @@
             let lapsed = now > machine.answered_at + self.lapse_ms;
             let patience = silent_ms + crate::millis(boot_s * REPLACED_BOOT);
             let last_sign = machine.heard_at.or(machine.known_up_at);
+            let unheard = |patience: Millis| {
+                let since = last_sign.unwrap_or(machine.hired_at).max(self.hearing_since);
+                now > since + patience
+            };
             machine.silent = silent.contains(&ix);
             let reason = if machine.silent
-                && (!self.fleet.silent_zones.contains(&machine.zone)
-                    || last_sign.is_some_and(|at| now > at + patience) && lapsed)
+                && (!self.fleet.silent_zones.contains(&machine.zone) || unheard(patience) && lapsed)
             {
                 "silent"
-            } else if machine.unlisted && machine.heard_at.is_some_and(|at| now > at + unlisted_ms) {
+            } else if machine.unlisted && machine.heard_at.is_some() && unheard(unlisted_ms) {
                 // Missing from a list proves nothing, but together with a late
                 // report it is reason enough; the deletion is the proof.
                 "silent and no longer listed"
@@ -115,6 +118,7 @@
                 "heard, but not reached"
             } else if last_sign.is_none()
                 && now > machine.hired_at + crate::millis(boot_s * BOOT_PATIENCE) + 10_000
+                && unheard(silent_ms)
                 && lapsed
             {
                 "never came up"
@@ -471,6 +475,28 @@
         assert_eq!(firm(4_000, 1_000), 14);
     }
 
+    /// Guards against giving up all machines after an outage of the state
+    /// service that was longer than their leases: nobody could hear them.
+    #[test]
+    fn silence_counts_from_when_the_owner_hears_again() {
+        let mut share = share_with(1, &[("small", 8.0)], 1, true);
+        for (name, heard_at) in [("host-1", Some(0)), ("host-2", Some(0)), ("host-3", None)] {
+            let ix = share.add_machine(0, name, "small", "north", true);
+            share.machines.get_mut(ix).expect("there").heard_at = heard_at;
+        }
+        let silent_ms = crate::millis(share.policy.silent_reports * share.report_s * 1.25);
+        share.hearing_since = 300_000;
+        share.condemn_broken(300_000 + silent_ms);
+        assert!(
+            share
+                .machines
+                .iter()
+                .all(|(_, machine)| !machine.condemned && !machine.silent)
+        );
+        share.condemn_broken(300_000 + 4 * silent_ms);
+        assert!(share.machines.iter().all(|(_, machine)| machine.condemned));
+    }
+
     #[test]
     fn the_target_covers_what_waits_and_the_mean_with_headroom() {
         let demand = Demand {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -283,6 +283,28 @@
     assert!(world.sent.store_requests < 200 * 330, "{:?}", world.sent);
 }
 
+/// Guards against deleting the whole fleet when an outage of the state service
+/// ends that was longer than the workers' leases: no controller could hear them.
+#[test]
+fn an_outage_longer_than_the_leases_costs_no_machines() {
+    let mut world = World::at_size(12, 3, vec![(40_000, Trouble::StoreOutage { ms: 60_000 })]);
+    for index in 0..8 {
+        let mut spec = World::plain_spec();
+        spec.team = if index % 2 == 0 { "red" } else { "blue" }.into();
+        spec.tasks = 3_000;
+        spec.cpus = 8.0;
+        world.submit(2_000 + index * 100, spec);
+    }
+    world.run(39_000);
+    let before = world.machine_names();
+    assert!(before.len() > 300, "{} machines", before.len());
+    world.run(115_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    let after = world.machine_names();
+    let lost = before.difference(&after).count();
+    assert!(lost * 20 < before.len(), "{lost} of {} lost", before.len());
+}
+
 /// Users reach only controllers that say they are well; one that is cut off from
 /// all that could answer them must not say so.
 #[test]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -419,6 +419,11 @@
         self.workers.values().filter(|worker| worker.up(self.now)).count()
     }
 
+    pub fn machine_names(&self) -> BTreeSet<String> {
+        let up = self.workers.values().filter(|worker| worker.up(self.now));
+        up.map(|worker| worker.name.clone()).collect()
+    }
+
     /// Adds a job made for a test.
     pub fn submit(&mut self, submit_at: u64, spec: JobSpec) -> usize {
         let index = self.jobs.len();
