Tell a silent zone by half the silence that gives up a machine alone

Reports are spread over an interval, so the first to pass the limit were judged alone while the rest of the zone was not past it yet. The zone is now judged at half the limit; the test's machines fall silent one after the other and fail without it.

--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -77,10 +77,13 @@
         let most = |count: usize| most_of(count, heard.len());
         let in_zone = |zone: Ix, ix: Ix| self.machines.get(ix).is_some_and(|machine| machine.zone == zone);
         let zones = 0..self.zones.len() as Ix;
+        // Told by half that silence: the first to be given up would else go one by
+        // one before the others, which reported a little later, count as silent.
         self.fleet.silent_zones = zones
             .filter(|&zone| {
-                let all = heard.iter().filter(|&&(ix, _)| in_zone(zone, ix)).count();
-                most_of(silent.iter().filter(|&&ix| in_zone(zone, ix)).count(), all)
+                let of_zone = heard.iter().filter(|&&(ix, _)| in_zone(zone, ix));
+                let late = of_zone.clone().filter(|(_, at)| now > at + silent_ms / 2);
+                most_of(late.count(), of_zone.count())
             })
             .collect();
         let count = |bad: &dyn Fn(&Machine) -> bool| self.machines.iter().filter(|(_, machine)| bad(machine)).count();
@@ -433,8 +436,13 @@
             let zone = if index < 4 { "north" } else { "south" };
             let ix = share.add_machine(0, &format!("host-{index}"), "small", zone, true);
             let machine = share.machines.get_mut(ix).expect("there");
-            // One of the south and all of the north fall silent.
-            machine.heard_at = Some(if index < 5 { 0 } else { 60_000 });
+            // One of the south and all of the north fall silent, the north's one
+            // after the other: its last reports were not sent together.
+            machine.heard_at = Some(match index {
+                0..=3 => index * 1_000,
+                4 => 0,
+                _ => 60_000,
+            });
         }
         let given_up = |share: &Share| -> Vec<String> {
             let machines = share.machines.iter().map(|(_, machine)| machine);
@@ -444,6 +452,8 @@
         let silent_ms = crate::millis(share.policy.silent_reports * share.report_s * 1.25);
         share.condemn_broken(silent_ms + 1);
         assert_eq!(given_up(&share), ["host-4"]);
+        share.condemn_broken(silent_ms + 3_001);
+        assert_eq!(given_up(&share), ["host-4"]);
         let north = share.zones.get("north").expect("known");
         assert!(share.fleet.silent_zones.contains(&north));
         assert!(
@@ -454,7 +464,7 @@
         );
         // Until new ones would be there; the type boots for 5 s.
         let patience = silent_ms + 7_500;
-        share.condemn_broken(patience.max(share.lapse_ms) + 1);
+        share.condemn_broken(patience.max(share.lapse_ms) + 3_001);
         assert_eq!(given_up(&share).len(), 5);
     }
 
