Lose no event between two runs of the stand-in world; submit large jobs in one place

World::run took the first event that was due later off its heap and dropped it, so that a test that runs in steps lost one event a step, a controller's tick or a report among them. The event now stays. The loop that submits large jobs stood three times and is one function; the count of machines uses the set of their names.

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -207,19 +207,24 @@
     assert!(world.jobs.iter().filter(|job| job.told == Told::Done).count() > 100);
 }
 
+/// Jobs of large tasks for both teams, one after the other.
+fn submit_large(world: &mut World, jobs: u64, tasks: u32, every_ms: u64) {
+    for index in 0..jobs {
+        let mut spec = World::plain_spec();
+        spec.team = if index % 2 == 0 { "red" } else { "blue" }.into();
+        spec.tasks = tasks;
+        spec.cpus = 8.0;
+        world.submit(2_000 + index * every_ms, spec);
+    }
+}
+
 /// At size, work is bounded by what there is to do: the owner answers few
 /// reports itself, machines are written many at a time, and messages between
 /// controllers grow with time, not with reports.
 #[test]
 fn two_thousand_machines_cost_no_more_than_there_is_to_do() {
     let mut world = World::at_size(8, 5, Vec::new());
-    for index in 0..20 {
-        let mut spec = World::plain_spec();
-        spec.team = if index % 2 == 0 { "red" } else { "blue" }.into();
-        spec.tasks = 300;
-        spec.cpus = 8.0;
-        world.submit(2_000 + index * 100, spec);
-    }
+    submit_large(&mut world, 20, 300, 100);
     world.run(60_000);
     assert!(world.broken.is_empty(), "{:?}", world.broken);
     let (machines, seconds) = (world.machines(), 60);
@@ -245,9 +250,9 @@
     assert!(world.jobs.iter().all(|job| job.told == Told::Done));
 }
 
-/// The whole fleet at half as many machines again as the largest deployment:
-/// the state service is out, all controllers end in the meantime and once more
-/// while they take over, a zone is cut off, and the owner stands still.
+/// A fleet of one to two thousand machines: the state service is out, all
+/// controllers end in the meantime and once more while they take over, a zone is
+/// cut off, and the owner stands still.
 #[test]
 fn a_large_fleet_lives_through_restarts_a_zone_cut_and_a_freeze() {
     let crash = |at| (0..5).map(move |node| (at, Trouble::Crash { node }));
@@ -264,13 +269,7 @@
     ];
     troubles.extend(crash(48_000).chain(crash(54_500)));
     let mut world = World::at_size(11, 5, troubles);
-    for index in 0..26 {
-        let mut spec = World::plain_spec();
-        spec.team = if index % 2 == 0 { "red" } else { "blue" }.into();
-        spec.tasks = 300;
-        spec.cpus = 8.0;
-        world.submit(2_000 + index * 3_000, spec);
-    }
+    submit_large(&mut world, 26, 300, 3_000);
     world.run(35_000);
     let machines = world.machines();
     assert!(machines > 1_000, "{machines} machines");
@@ -288,13 +287,7 @@
 #[test]
 fn an_outage_longer_than_the_leases_costs_no_machines() {
     let mut world = World::at_size(12, 3, vec![(40_000, Trouble::StoreOutage { ms: 60_000 })]);
-    for index in 0..8 {
-        let mut spec = World::plain_spec();
-        spec.team = if index % 2 == 0 { "red" } else { "blue" }.into();
-        spec.tasks = 3_000;
-        spec.cpus = 8.0;
-        world.submit(2_000 + index * 100, spec);
-    }
+    submit_large(&mut world, 8, 3_000, 100);
     world.run(39_000);
     let before = world.machine_names();
     assert!(before.len() > 300, "{} machines", before.len());
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -416,7 +416,7 @@
     }
 
     pub fn machines(&self) -> usize {
-        self.workers.values().filter(|worker| worker.up(self.now)).count()
+        self.machine_names().len()
     }
 
     pub fn machine_names(&self) -> BTreeSet<String> {
@@ -496,10 +496,12 @@
     }
 
     pub fn run(&mut self, until: u64) {
-        while let Some(Reverse((time, order))) = self.heap.pop() {
+        while let Some(&Reverse((time, order))) = self.heap.peek() {
+            // What is due later stays for the next call.
             if time > until || !self.broken.is_empty() {
                 return;
             }
+            self.heap.pop();
             self.now = time;
             if let Some(happening) = self.happenings.remove(&order) {
                 self.happen(happening);
