--- /dev/null
+++ b/src/controller/tests.rs
@@ -0,0 +1,107 @@
+use super::*;
+use crate::settings::tests::SAMPLE;
+
+/// Numbers of what a life of a controller asks peers first.
+fn asked(life: u64) -> (u64, u64) {
+    let settings = Settings::parse(SAMPLE).expect("valid settings");
+    let node = settings.peers[0].node.clone();
+    let mut controller = Controller::new(settings, Policy::default(), life);
+    let now = Now {
+        steady: 1_000_000,
+        wall: 0,
+    };
+    let beat = Message::Beat {
+        node: node.clone(),
+        share: SHARE.into(),
+        owns_term: Some(3),
+        store_ok: true,
+    };
+    let message = Box::new(beat);
+    controller.step(now, Input::Peer { message, node });
+    let ask = Ask::Cancel("j-000001".into());
+    let outputs = controller.step(now, Input::User { request: 1, ask });
+    let forward = outputs.iter().find_map(|output| match output {
+        Output::Peer {
+            message: Message::Forward { id, .. },
+            ..
+        } => Some(*id),
+        _ => None,
+    });
+    (controller.call(), forward.expect("forwarded to the owner"))
+}
+
+/// Guards against beginning to load anew for ever: a full store that answers
+/// slowly takes longer than any fixed time.
+#[test]
+fn loading_goes_on_as_long_as_answers_come() {
+    const SLOW_MS: Millis = 2_500;
+    let settings = Settings::parse(SAMPLE).expect("valid settings");
+    let node = settings.peers[0].node.clone();
+    let beat = Message::Beat {
+        node: node.clone(),
+        share: SHARE.into(),
+        owns_term: None,
+        store_ok: true,
+    };
+    let mut controller = Controller::new(settings, Policy::default(), 7);
+    let mut steady = 1_000_000;
+    let mut pages = 3;
+    let mut due: Vec<(Millis, u64, StoreReply)> = Vec::new();
+    while steady < 1_030_000 && !controller.owns_share() {
+        let now = Now { steady, wall: 0 };
+        let (node, message) = (node.clone(), Box::new(beat.clone()));
+        let mut outputs = controller.step(now, Input::Peer { node, message });
+        outputs.extend(controller.step(now, Input::Tick));
+        let (ready, later): (Vec<_>, Vec<_>) = due.into_iter().partition(|(at, ..)| *at <= steady);
+        due = later;
+        for (_, call, reply) in ready {
+            outputs.extend(controller.step(now, Input::Store { call, reply }));
+        }
+        for output in outputs {
+            let Output::Store { call, request } = output else {
+                continue;
+            };
+            let page = |key: String, more| {
+                let value = serde_json::json!({ "machines": [] });
+                let item = crate::wire::Entry { key, value, version: 1 };
+                let items = if more { vec![item] } else { Vec::new() };
+                StoreReply::Page(crate::wire::Page {
+                    items,
+                    more,
+                    revision: 1,
+                })
+            };
+            let (after, reply) = match request {
+                StoreRequest::Grant { .. } => (10, StoreReply::Granted { lease: 1 }),
+                StoreRequest::Renew(_) => (10, StoreReply::Renewed),
+                StoreRequest::Transact(_) => (10, StoreReply::Committed { revision: 2 }),
+                StoreRequest::List { prefix, .. } if prefix.starts_with("live/") => (10, page(prefix, false)),
+                StoreRequest::List { prefix, .. } => {
+                    pages -= i32::from(pages > 0);
+                    (SLOW_MS, page(format!("{prefix}{pages}"), pages > 0))
+                }
+                StoreRequest::Watch { wait_ms: 0, .. } => {
+                    let log = crate::wire::Log {
+                        revision: 2,
+                        events: Vec::new(),
+                    };
+                    (10, StoreReply::Log(log))
+                }
+                _ => continue,
+            };
+            due.push((steady + after, call, reply));
+        }
+        steady += 50;
+    }
+    assert!(controller.owns_share());
+    assert!(steady > 1_000_000 + 4 * SLOW_MS, "it was slow indeed");
+}
+
+/// Guards against taking a peer's answer to a former life of this process,
+/// about another job or machine, for one to this life.
+#[test]
+fn an_answer_to_a_former_life_fits_no_request() {
+    let (first, second) = (asked(0x1000_0000_0000), asked(0x2000_0000_0000));
+    assert!(first.0.abs_diff(second.0) > 1 << 32);
+    assert!(first.1.abs_diff(second.1) > 1 << 32);
+}
--- /dev/null
+++ b/src/peers/tests.rs
@@ -0,0 +1,49 @@
+use super::*;
+use crate::wire::Command;
+use proptest::prelude::*;
+
+proptest! {
+    #[test]
+    fn messages_survive_the_link(id in any::<u64>(), text in ".{0,200}", retry in proptest::option::of(any::<u32>())) {
+        for message in [
+            Message::Forward { share: "pool".into(), id, ask: Ask::Submit(text.clone()) },
+            Message::Forwarded { id, answer: Answer { status: 503, body: text.clone(), retry_after_s: retry } },
+            Message::Relayed { answers: vec![(id, ReportReply::Elsewhere(Some(text.clone())))] },
+            Message::Push {
+                share: "pool".into(),
+                commands: vec![(id, text.clone(), DirectCommands {
+                    token: id,
+                    session: 1,
+                    commands: vec![Command::Stop { task: text.clone(), attempt: id, grace_s: 1.5 }],
+                })],
+            },
+            Message::Pushed { replies: vec![(id, WorkerReply::Lost)] },
+        ] {
+            let bytes = rmp_serde::to_vec(&message).expect("written");
+            prop_assert_eq!(rmp_serde::from_slice::<Message>(&bytes).expect("read"), message);
+        }
+    }
+}
+
+/// Guards against a controller that is cut off saying that it is well: users
+/// stayed with it and got no answer.
+#[test]
+fn most_of_the_others_have_to_be_in_reach() {
+    let mut peers = Peers::new(["a", "b", "c", "d"].map(String::from));
+    peers.beat(0, "a", None, false);
+    assert!(!peers.most_in_reach(100));
+    peers.beat(0, "b", None, false);
+    assert!(peers.most_in_reach(100));
+    assert!(!peers.most_in_reach(10_000));
+    assert!(Peers::new([]).most_in_reach(0));
+}
+
+#[test]
+fn the_highest_term_in_reach_is_the_owner() {
+    let mut peers = Peers::new(["a".to_string(), "b".to_string()]);
+    peers.beat(0, "a", Some(3), true);
+    peers.beat(0, "b", Some(4), false);
+    assert_eq!(peers.owner(100), Some("b"));
+    assert_eq!(peers.with_store(100), Some("a"));
+    assert_eq!(peers.owner(10_000), None);
+}
--- /dev/null
+++ b/src/placement/board/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+use crate::controller::share_with;
+use proptest::prelude::*;
+
+fn share(machines: &[(bool, bool, f64, Option<u32>)]) -> (Share, Ix) {
+    let mut share = share_with(1, &[("small", 8.0), ("large", 16.0)], 40, true);
+    let job = share.jobs.find("j-1").expect("known");
+    let image = share.jobs.get(job).expect("there").image;
+    for (number, &(large, spot, used, holds)) in machines.iter().enumerate() {
+        let type_name = if large { "large" } else { "small" };
+        let ix = share.add_machine(0, &format!("host-{number}"), type_name, "north", spot);
+        let machine = share.machines.get_mut(ix).expect("there");
+        machine.written = true;
+        machine.heard_at = Some(0);
+        machine.used.cpus = used;
+        if let Some(other) = holds {
+            machine.touch(image + other, 1.0, 50.0);
+        }
+    }
+    (share, job)
+}
+
+/// Algorithm 1 as the plain scan of all machines states it.
+fn plain_scan(share: &Share, job: &Job) -> Option<Ix> {
+    let mut best: Option<((bool, bool, f64, f64), Ix)> = None;
+    for (ix, machine) in share.machines.iter() {
+        let info = share.type_info[machine.type_ix as usize].as_ref().expect("known");
+        let free = info.room.less(machine.used);
+        if !machine.usable(0) || !job.shape.allows(machine.type_ix, machine.zone, machine.spot) {
+            continue;
+        }
+        let score = (machine.holds(job.image), machine.spot, -info.room.cpus, -free.cpus);
+        if free.fits(job.shape.room) && best.is_none_or(|(other, _)| score > other) {
+            best = Some((score, ix));
+        }
+    }
+    best.map(|(_, ix)| ix)
+}
+
+proptest! {
+    #[test]
+    fn the_board_chooses_what_the_plain_scan_chooses(
+        machines in proptest::collection::vec(
+            (any::<bool>(), any::<bool>(), 0.0f64..16.0, proptest::option::of(0u32..2)), 1..30
+        ),
+        tasks in 1usize..40
+    ) {
+        let (mut share, job_ix) = share(&machines);
+        let mut board = Board::new(&share, 0);
+        for _ in 0..tasks {
+            let job = share.jobs.get(job_ix).expect("there");
+            let expected = plain_scan(&share, job);
+            let (room, image) = (job.shape.room, job.image);
+            let found = board.search(&share, job, &None);
+            prop_assert_eq!(found.best.map(|place| board.machine_at(place)), expected);
+            let Some(place) = found.best else {
+                break;
+            };
+            board.note_image(place, image);
+            let machine = share.machines.get_mut(board.take(place, room)).expect("there");
+            machine.used.add(room);
+            machine.touch(image, 1.0, 50.0);
+        }
+    }
+}
--- /dev/null
+++ b/src/workers/merge/tests.rs
@@ -0,0 +1,305 @@
+use super::*;
+use crate::controller::share_with;
+use crate::wire::TaskReport;
+
+const MINUTE: Millis = 60_000;
+
+/// A share of term 5 with one machine heard in session 1 and one job of a
+/// single task placed and written there.
+fn share() -> (Share, Ix) {
+    share_of(1)
+}
+
+fn share_of(tasks: u32) -> (Share, Ix) {
+    let mut share = share_with(5, &[("small", 8.0)], tasks, false);
+    share.merge_report(0, &report(1, 1, 5, Vec::new()), Path::Answered);
+    let machine = share.machines.find("host-1").expect("known");
+    let known = share.machines.get_mut(machine).expect("there");
+    known.written = true;
+    // The tests below jump ahead in time.
+    known.report_due = Millis::MAX;
+    share.place(0);
+    let attempt = share.machines.get(machine).expect("there").open[0];
+    share.attempts.get_mut(attempt).expect("open").written = true;
+    (share, machine)
+}
+
+fn report(session: u64, seq: u64, token: u64, tasks: Vec<TaskReport>) -> Report {
+    Report {
+        machine: "host-1".into(),
+        address: "127.0.0.1:9".into(),
+        machine_type: "small".into(),
+        zone: "north".into(),
+        spot: false,
+        session,
+        seq,
+        token,
+        notice_s: None,
+        tasks,
+    }
+}
+
+fn task(state: TaskState, why: Option<Why>) -> TaskReport {
+    TaskReport {
+        task: "j-1/0".into(),
+        attempt: 1,
+        state,
+        why,
+    }
+}
+
+fn open(share: &Share) -> usize {
+    share.attempts.iter().count()
+}
+
+#[test]
+fn absence_from_a_report_proves_nothing_while_a_start_may_arrive() {
+    let (mut share, machine) = share();
+    let attempt = share.machines.get(machine).expect("there").open[0];
+    share.attempts.get_mut(attempt).expect("open").stop = Some(0.0);
+    share.machines.get_mut(machine).expect("there").doubt = 5;
+    share.merge_report(MINUTE, &report(1, 2, 5, Vec::new()), Path::Sent);
+    assert_eq!(open(&share), 1);
+    assert!(share.withdraw);
+    // A higher token seen by the worker withdraws whatever is on its way.
+    share.term = 6;
+    share.merge_report(MINUTE, &report(1, 3, 6, Vec::new()), Path::Sent);
+    assert_eq!(open(&share), 0);
+}
+
+/// Guards against raising the term again and again after a take-over, each
+/// time at the price of a fresh start.
+#[test]
+fn starts_of_earlier_terms_need_no_higher_term() {
+    let (mut share, machine) = share();
+    let attempt = share.machines.get(machine).expect("there").open[0];
+    share.attempts.get_mut(attempt).expect("open").stop = Some(0.0);
+    share.machines.get_mut(machine).expect("there").doubt = 4;
+    share.merge_report(MINUTE, &report(1, 2, 4, Vec::new()), Path::Sent);
+    assert_eq!(open(&share), 1);
+    assert!(!share.withdraw);
+    share.merge_report(MINUTE, &report(1, 3, 5, Vec::new()), Path::Sent);
+    assert_eq!(open(&share), 0);
+}
+
+#[test]
+fn reports_are_ordered_by_session_and_sequence() {
+    let (mut share, _) = share();
+    share.merge_report(10, &report(1, 5, 5, vec![task(TaskState::Running, None)]), Path::Sent);
+    let old = report(1, 4, 5, vec![task(TaskState::Exited, Some(Why::Done))]);
+    assert_eq!(share.merge_report(20, &old, Path::Sent), Merged::Old);
+    assert_eq!(open(&share), 1);
+    assert_eq!(
+        share.merge_report(20, &report(1, 9, 7, Vec::new()), Path::Sent),
+        Merged::Outranked
+    );
+    share.merge_report(30, &report(2, 1, 5, Vec::new()), Path::Sent);
+    assert_eq!(open(&share), 0);
+}
+
+/// Guards against reckoning a new session's lease from the last answer to
+/// the session before: its tasks were taken for lost while they ran.
+#[test]
+fn a_new_session_has_its_whole_lease() {
+    let (mut share, _) = share();
+    let late = share.lapse_ms - 10;
+    share.merge_report(late, &report(2, 1, 5, Vec::new()), Path::Sent);
+    share.place(late);
+    assert_eq!(open(&share), 1);
+    share.close_lapsed(late + 1_000);
+    assert_eq!(open(&share), 1);
+    share.close_lapsed(late + share.lapse_ms + 1);
+    assert_eq!(open(&share), 0);
+}
+
+#[test]
+fn an_end_is_forgotten_only_once_it_is_written() {
+    let (mut share, machine) = share();
+    let over = vec![task(TaskState::Exited, Some(Why::Error))];
+    share.merge_report(10, &report(1, 2, 5, over.clone()), Path::Sent);
+    share.merge_report(10, &report(1, 3, 5, over), Path::Sent);
+    assert!(share.commands(10, machine).is_empty());
+    let ix = share.jobs.find("j-1").expect("known");
+    share.jobs.get_mut(ix).expect("there").chunks[0].dirty = false;
+    assert!(matches!(share.commands(10, machine)[..], [Command::Forget { .. }]));
+    // Not while a start that went unanswered may still bring it back.
+    share.machines.get_mut(machine).expect("there").doubt = 5;
+    assert!(share.commands(10, machine).is_empty());
+}
+
+fn usable(share: &Share, machine: Ix, now: Millis) -> bool {
+    share.machines.get(machine).expect("there").usable(now)
+}
+
+/// Guards against late copies of reports: a new owner took a machine that was
+/// gone for one in use, and placed tasks on it.
+#[test]
+fn only_a_report_of_this_term_shows_that_a_machine_is_there() {
+    let (mut share, machine) = share();
+    share.machines.get_mut(machine).expect("there").heard_at = None;
+    share.merge_report(10, &report(1, 2, 4, Vec::new()), Path::Sent);
+    assert!(!usable(&share, machine, 10));
+    share.merge_report(20, &report(1, 3, 5, Vec::new()), Path::Sent);
+    assert!(usable(&share, machine, 20));
+}
+
+/// Guards against bringing back a machine returned so long ago that it was
+/// forgotten: a report alone, even of this term, does not put it in the
+/// roster, and hires don't count on it.
+#[test]
+fn a_machine_known_by_hearsay_counts_for_nothing() {
+    let (mut share, _) = share();
+    let copy = |seq| Report {
+        machine: "host-9".into(),
+        ..report(1, seq, 5, Vec::new())
+    };
+    share.merge_report(10, &copy(7), Path::Sent);
+    let ix = share.machines.find("host-9").expect("noted");
+    assert_eq!(share.machines.get(ix).expect("there").group, None);
+    assert!(!usable(&share, ix, 10));
+    // It is asked; its answer shows that it is there.
+    assert!(share.to_push.contains(&ix));
+    share.merge_report(20, &copy(8), Path::Answered);
+    assert!(share.machines.get(ix).expect("there").group.is_some());
+}
+
+/// Guards against giving tasks for ever to a machine whose reports arrive
+/// while answers and commands don't reach it.
+#[test]
+fn a_machine_that_no_answer_reaches_rests_and_is_given_up() {
+    let (mut share, machine) = share();
+    let mut condemned_after = None;
+    for seq in 2..12 {
+        let now = seq * 5_000;
+        share.merge_report(now, &report(1, seq, 5, Vec::new()), Path::Sent);
+        share.answer_commands(now, machine);
+        share.plan_fleet(now);
+        let misses = share.machines.get(machine).expect("there").misses;
+        assert_eq!(usable(&share, machine, now), misses < 2);
+        if share.machines.get(machine).expect("there").condemned {
+            condemned_after.get_or_insert(seq - 2);
+        }
+    }
+    assert_eq!(condemned_after, Some(4));
+    // What was started there is proven over by other means only.
+    assert_eq!(open(&share), 1);
+}
+
+/// Guards against tasks for machines that hang or are cut off: they waited
+/// there until the lease had lapsed (zone days of the fleet deployments).
+#[test]
+fn a_machine_late_with_its_report_or_an_answer_gets_nothing_new() {
+    let (mut share, machine) = share();
+    share.merge_report(0, &report(1, 2, 5, Vec::new()), Path::Sent);
+    let due = share.machines.get(machine).expect("there").report_due;
+    assert!(due > crate::millis(share.report_s * 1.25));
+    assert!(usable(&share, machine, due));
+    assert!(!usable(&share, machine, due + 1));
+    share.machines.get_mut(machine).expect("there").unanswered = true;
+    assert!(!usable(&share, machine, 10));
+    share.merge_report(20, &report(1, 3, 5, Vec::new()), Path::Sent);
+    assert!(usable(&share, machine, 20));
+}
+
+#[test]
+fn one_lost_answer_is_made_up_for_by_the_next_sign() {
+    let (mut share, machine) = share();
+    share.answer_commands(0, machine);
+    share.merge_report(5_000, &report(1, 2, 5, Vec::new()), Path::Sent);
+    assert_eq!(share.machines.get(machine).expect("there").misses, 1);
+    share.answer_commands(5_000, machine);
+    share.merge_report(
+        10_000,
+        &report(1, 3, 5, vec![task(TaskState::Fetching, None)]),
+        Path::Sent,
+    );
+    assert_eq!(share.machines.get(machine).expect("there").misses, 0);
+}
+
+/// Guards against a start that arrives late, after a later attempt of the
+/// same task ran on the same machine: the task ran once more, beyond its
+/// team's limit (drawn troubles, seed 249).
+#[test]
+fn a_task_does_not_go_where_its_earlier_attempt_is_still_listed() {
+    let (mut share, machine) = share();
+    share.merge_report(
+        10,
+        &report(1, 2, 5, vec![task(TaskState::Exited, Some(Why::Stopped))]),
+        Path::Sent,
+    );
+    assert_eq!(open(&share), 0);
+    share.place(10);
+    assert_eq!(open(&share), 0);
+    share.merge_report(20, &report(1, 3, 5, Vec::new()), Path::Sent);
+    let job = share.jobs.find("j-1").expect("known");
+    share.jobs.get_mut(job).expect("there").failed_on.clear();
+    share.place(20);
+    assert_eq!(share.machines.get(machine).expect("there").open.len(), 1);
+}
+
+/// Guards against an index that a job leaves behind in the ledger: it was
+/// given to a smaller job, and writing its chunk ended the process.
+#[test]
+fn a_removed_job_leaves_nothing_to_write() {
+    let (mut share, _) = share();
+    share.merge_report(
+        10,
+        &report(1, 2, 5, vec![task(TaskState::Exited, Some(Why::Error))]),
+        Path::Sent,
+    );
+    let job = share.jobs.find("j-1").expect("known");
+    share.ledger.chunks.insert((job, 7));
+    share.ledger.cleanups.insert(job);
+    share.gone.push("j-1".into());
+    share.forget_gone();
+    assert!(share.jobs.is_empty());
+    assert!(share.ledger.chunks.is_empty() && share.ledger.starts.is_empty() && share.ledger.cleanups.is_empty());
+}
+
+/// One more task of the only job is placed, and fails.
+fn fail_once(share: &mut Share, machine: Ix, now: Millis) {
+    share.place(now);
+    let attempt = share.machines.get(machine).expect("there").open[0];
+    share.close(now, attempt, Outcome::Error);
+}
+
+/// Guards against blaming jobs for sick machines (inc-c6c5): every job was
+/// paused for up to a minute while machines stood idle, and no machine went.
+#[test]
+fn a_machine_is_blamed_for_jobs_that_got_on_elsewhere() {
+    let (mut share, machine) = share_of(40);
+    let job = share.jobs.find("j-1").expect("known");
+    let first = share.machines.get(machine).expect("there").open.clone();
+    share.close(0, first[0], Outcome::Done);
+    for attempt in share.machines.get(machine).expect("there").open.clone() {
+        share.close(0, attempt, Outcome::Lost);
+    }
+    for round in 1..=3 {
+        share.jobs.get_mut(job).expect("there").failed_on.clear();
+        fail_once(&mut share, machine, round * 10_000);
+        for attempt in share.machines.get(machine).expect("there").open.clone() {
+            share.close(0, attempt, Outcome::Lost);
+        }
+    }
+    assert_eq!(share.jobs.get(job).expect("there").errors, 0);
+    share.plan_fleet(40_000);
+    assert!(share.machines.get(machine).expect("there").condemned);
+}
+
+#[test]
+fn a_job_that_fails_everywhere_is_tried_alone_and_spares_the_machines() {
+    let (mut share, machine) = share_of(40);
+    let job = share.jobs.find("j-1").expect("known");
+    for round in 0..6 {
+        for attempt in share.machines.get(machine).expect("there").open.clone() {
+            share.close(round * 70_000, attempt, Outcome::Error);
+        }
+        share.jobs.get_mut(job).expect("there").failed_on.clear();
+        share.place(round * 70_000 + 65_000);
+    }
+    assert!(share.jobs.get(job).expect("there").fails_everywhere());
+    assert!(share.machines.get(machine).expect("there").open.len() <= 1);
+    share.machines.get_mut(machine).expect("there").heard_at = Some(500_000);
+    share.plan_fleet(500_000);
+    assert!(!share.machines.get(machine).expect("there").condemned);
+}
--- /dev/null
+++ b/src/workers/tests.rs
@@ -0,0 +1,24 @@
+use super::*;
+use proptest::prelude::*;
+
+proptest! {
+    #[test]
+    fn a_cache_stays_within_its_size_and_keeps_the_latest(
+        touches in proptest::collection::vec((0u32..8, 1.0f64..30.0), 1..50)
+    ) {
+        let mut machine = Machine::new("m", 0, 0, false, 0);
+        for (image, gb) in touches {
+            machine.touch(image, gb, 40.0);
+            prop_assert!(machine.holds(image));
+            let total: f64 = machine.images.iter().map(|(_, gb)| gb).sum();
+            prop_assert!(total <= 40.0 || machine.images.len() == 1);
+        }
+    }
+}
+
+#[test]
+fn task_names_split_as_they_were_joined() {
+    assert_eq!(split_task(&task_name("j-000412", 17)), Some(("j-000412", 17)));
+    assert_eq!(split_task("j-000412"), None);
+    assert_eq!(split_task("j-000412/x"), None);
+}
--- /dev/null
+++ b/tests/rules/world/cloud.rs
@@ -0,0 +1,111 @@
+//! A stand-in for the cloud.
+
+use super::*;
+
+pub(super) fn catalogue() -> Catalogue {
+    let machine_type = |name: &str, cpus: f64| MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: cpus * 4.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: cpus * 0.05,
+        spot_price: Some(cpus * 0.02),
+        boot_s: 5.0,
+        zones: vec!["north".into(), "south".into()],
+    };
+    Catalogue {
+        types: vec![machine_type("small", 4.0), machine_type("large", 8.0)],
+    }
+}
+impl World {
+    pub(super) fn cloud_call(&mut self, request: &CloudRequest) -> CloudReply {
+        if self.now < self.cloud_out {
+            return CloudReply::Unavailable;
+        }
+        match request {
+            CloudRequest::Catalogue => CloudReply::Catalogue(catalogue()),
+            CloudRequest::Hire(hire) => {
+                if let Some(names) = self.hired.get(&hire.request) {
+                    return CloudReply::Hired(MachineNames {
+                        machines: names.clone(),
+                    });
+                }
+                let there = self
+                    .workers
+                    .values()
+                    .filter(|w| !w.gone && w.zone == hire.zone && w.spot == hire.spot)
+                    .count();
+                let count = (hire.count as usize).min(self.capacity.saturating_sub(there));
+                if count == 0 {
+                    return CloudReply::NoCapacity;
+                }
+                let mut names = Vec::new();
+                for _ in 0..count {
+                    let name = format!("host-{:06}", self.next_machine);
+                    self.next_machine += 1;
+                    let boot = if self.rng.random_bool(0.05) {
+                        10_000_000
+                    } else {
+                        self.rng.random_range(500..8_000)
+                    };
+                    let worker = Worker {
+                        name: name.clone(),
+                        machine_type: hire.machine_type.clone(),
+                        zone: hire.zone.clone(),
+                        spot: hire.spot,
+                        hired_at: self.now,
+                        up_at: self.now + boot,
+                        gone: false,
+                        cut_until: 0,
+                        deaf_until: 0,
+                        sick: false,
+                        session: 1,
+                        seq: 0,
+                        token: 0,
+                        lease_from: self.now + boot,
+                        taken_at: None,
+                        node: self.rng.random_range(0..self.nodes.len()),
+                        report_out: None,
+                        next_report: self.now + boot,
+                        tasks: BTreeMap::new(),
+                    };
+                    self.workers.insert(name.clone(), worker);
+                    names.push(name);
+                }
+                self.hired.insert(hire.request.clone(), names.clone());
+                CloudReply::Hired(MachineNames { machines: names })
+            }
+            CloudRequest::Delete(names) => {
+                for name in &names.machines {
+                    self.machine_gone(name);
+                }
+                CloudReply::Deleted
+            }
+            CloudRequest::List { after } => {
+                let listed = self
+                    .workers
+                    .values()
+                    .filter(|w| !w.gone && w.name > *after)
+                    .map(|w| ListedMachine {
+                        id: w.name.clone(),
+                        address: Some(w.name.clone()),
+                        machine_type: w.machine_type.clone(),
+                        zone: w.zone.clone(),
+                        spot: w.spot,
+                        state: if self.now >= w.up_at {
+                            MachineState::Running
+                        } else {
+                            MachineState::Starting
+                        },
+                        age_s: (self.now - w.hired_at) as f64 / 1000.0,
+                    });
+                CloudReply::Listed(MachineList {
+                    machines: listed.take(500).collect(),
+                    more: false,
+                })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/rules/world/faults.rs
@@ -0,0 +1,202 @@
+//! Troubles: what can go wrong, and how it comes about.
+
+use super::*;
+
+/// A trouble, from a time on and for a while.
+#[derive(Clone, Debug)]
+pub enum Trouble {
+    Crash {
+        node: usize,
+    },
+    CutFromStore {
+        node: usize,
+        ms: u64,
+    },
+    CutFromPeers {
+        node: usize,
+        ms: u64,
+    },
+    CutFromWorkers {
+        node: usize,
+        ms: u64,
+    },
+    StoreOutage {
+        ms: u64,
+    },
+    CloudOutage {
+        ms: u64,
+    },
+    MachineCut {
+        ms: u64,
+    },
+    /// All machines of one zone at once.
+    ZoneCut {
+        ms: u64,
+    },
+    MachineTaken,
+    MachineSick,
+    /// Its reports arrive; answers and commands don't reach it.
+    MachineDeaf {
+        ms: u64,
+    },
+    /// Back at once, its tasks gone, in its next session.
+    MachineBlinks,
+    /// Copies of reports come seconds to several leases late.
+    LateCopies {
+        ms: u64,
+    },
+    /// Cut from the state service and the other controllers, not from workers.
+    CutFromAllButWorkers {
+        node: usize,
+        ms: u64,
+    },
+    /// Back within a fraction of a second.
+    Blink {
+        node: usize,
+    },
+    /// Stands still while its clocks run on; what it had worked out just before
+    /// leaves only when it wakes.
+    Freeze {
+        node: usize,
+        ms: u64,
+    },
+    PeersRefuse {
+        ms: u64,
+    },
+    StoreSlow {
+        ms: u64,
+    },
+}
+
+impl Trouble {
+    /// Until all of it is over, late messages included.
+    pub(super) fn lasts(&self) -> u64 {
+        match self {
+            Trouble::CutFromStore { ms, .. }
+            | Trouble::CutFromPeers { ms, .. }
+            | Trouble::CutFromWorkers { ms, .. }
+            | Trouble::CutFromAllButWorkers { ms, .. }
+            | Trouble::Freeze { ms, .. }
+            | Trouble::StoreOutage { ms }
+            | Trouble::CloudOutage { ms }
+            | Trouble::MachineCut { ms }
+            | Trouble::ZoneCut { ms }
+            | Trouble::MachineDeaf { ms }
+            | Trouble::LateCopies { ms }
+            | Trouble::PeersRefuse { ms }
+            | Trouble::StoreSlow { ms } => *ms,
+            _ => 5_000,
+        }
+    }
+}
+
+impl World {
+    pub(super) fn trouble(&mut self, trouble: Trouble) {
+        match trouble {
+            Trouble::Crash { node } => {
+                // The owner, when one is named that is out of range.
+                let node = self.pick_node(node);
+                self.crash(node, 4_000);
+            }
+            Trouble::Blink { node } => {
+                let node = self.pick_node(node);
+                let pause = self.rng.random_range(50..900);
+                self.crash(node, pause);
+            }
+            Trouble::Freeze { node, ms } => {
+                let node = self.pick_node(node);
+                self.nodes[node].frozen_until = self.now + ms;
+                self.nodes[node].last_inputs = 3;
+            }
+            Trouble::CutFromAllButWorkers { node, ms } => {
+                let node = self.pick_node(node);
+                self.nodes[node].store_cut = self.now + ms;
+                self.nodes[node].peer_cut = self.now + ms;
+            }
+            Trouble::PeersRefuse { ms } => self.peers_refuse = self.now + ms,
+            Trouble::StoreSlow { ms } => self.store_slow = self.now + ms,
+            Trouble::LateCopies { ms } => self.copies = self.now + ms,
+            Trouble::MachineDeaf { ms } => {
+                let now = self.now;
+                if let Some(worker) = self.pick_worker() {
+                    worker.deaf_until = now + ms;
+                }
+            }
+            Trouble::MachineBlinks => {
+                let now = self.now;
+                if let Some(worker) = self.pick_worker() {
+                    let (name, mut effects) = (worker.name.clone(), Vec::new());
+                    worker.next_session(now, &mut effects);
+                    self.take_effects(&name, effects);
+                }
+            }
+            Trouble::CutFromStore { node, ms } => {
+                let node = self.pick_node(node);
+                self.nodes[node].store_cut = self.now + ms;
+            }
+            Trouble::CutFromPeers { node, ms } => {
+                let node = self.pick_node(node);
+                self.nodes[node].peer_cut = self.now + ms;
+            }
+            Trouble::CutFromWorkers { node, ms } => {
+                let node = self.pick_node(node);
+                self.nodes[node].worker_cut = self.now + ms;
+            }
+            Trouble::StoreOutage { ms } => self.store_out = self.now + ms,
+            Trouble::CloudOutage { ms } => self.cloud_out = self.now + ms,
+            Trouble::MachineCut { ms } => {
+                let now = self.now;
+                if let Some(worker) = self.pick_worker() {
+                    worker.cut_until = now + ms;
+                }
+            }
+            Trouble::ZoneCut { ms } => {
+                let until = self.now + ms;
+                let south = self.workers.values_mut().filter(|worker| worker.zone == "south");
+                south.for_each(|worker| worker.cut_until = until);
+            }
+            Trouble::MachineTaken => {
+                let now = self.now;
+                if let Some(worker) = self.pick_worker() {
+                    worker.taken_at = Some(now + 500);
+                }
+            }
+            Trouble::MachineSick => {
+                if let Some(worker) = self.pick_worker() {
+                    worker.sick = true;
+                }
+            }
+        }
+    }
+
+    /// The owner, when one is named that is out of range.
+    pub(super) fn pick_node(&self, node: usize) -> usize {
+        if node < self.nodes.len() {
+            node
+        } else {
+            self.owner().unwrap_or(0)
+        }
+    }
+
+    pub(super) fn crash(&mut self, node: usize, pause: u64) {
+        self.nodes[node].controller = None;
+        self.nodes[node].life = 0;
+        self.nodes[node].frozen_until = 0;
+        self.nodes[node].healthy = false;
+        self.at(self.now + pause, Happening::Restart(node));
+    }
+
+    pub(super) fn pick_worker(&mut self) -> Option<&mut Worker> {
+        let up: Vec<String> = self
+            .workers
+            .values()
+            .filter(|w| w.up(self.now))
+            .map(|w| w.name.clone())
+            .collect();
+        if up.is_empty() {
+            return None;
+        }
+        let pick = self.rng.random_range(0..up.len());
+        self.workers.get_mut(&up[pick])
+    }
+}
--- /dev/null
+++ b/tests/rules/world/network.rs
@@ -0,0 +1,315 @@
+//! What is under way: requests, answers and messages, late, lost or held back.
+
+use super::*;
+
+impl World {
+    /// True if a controller stands still and can take nothing in now.
+    pub(super) fn stands_still(&mut self, node: usize) -> bool {
+        let (now, node) = (self.now, &mut self.nodes[node]);
+        if now >= node.frozen_until {
+            return false;
+        }
+        let still = node.last_inputs == 0;
+        node.last_inputs = node.last_inputs.saturating_sub(1);
+        still
+    }
+
+    pub(super) fn output(&mut self, node: usize, life: u64, output: Output) {
+        match output {
+            Output::Answer { request, answer } => {
+                let delay = self.delay();
+                if let Some(Waiting::Report { .. }) = self.requests.get(&(node, request)) {
+                    self.sent.report_answers += 1;
+                    self.sent.owner_answers += usize::from(self.owner() == Some(node));
+                }
+                match self.requests.remove(&(node, request)) {
+                    Some(Waiting::User { job, kind }) => {
+                        self.at(self.now + delay, Happening::UserAnswered { job, kind, answer });
+                    }
+                    Some(Waiting::Health) => self.nodes[node].healthy = answer.status == 200,
+                    Some(Waiting::Report { machine, id }) if self.now >= self.nodes[node].worker_cut => {
+                        self.at(self.now + delay, Happening::ReportAnswered { machine, id, answer });
+                    }
+                    _ => {}
+                }
+            }
+            Output::Peer { node: to, message } => {
+                self.sent.messages += 1;
+                let Some(to) = self.nodes.iter().position(|other| other.name == to) else {
+                    return;
+                };
+                let cut = self.nodes[node].peer_cut.max(self.nodes[to].peer_cut);
+                if self.now < cut.max(self.peers_refuse) {
+                    return;
+                }
+                let (delay, to_life) = (self.delay(), self.nodes[to].life);
+                let input = Input::Peer {
+                    node: self.nodes[node].name.clone(),
+                    message: Box::new(over_the_wire(&message)),
+                };
+                self.at(
+                    self.now + delay,
+                    Happening::Input {
+                        node: to,
+                        life: to_life,
+                        input,
+                    },
+                );
+            }
+            Output::Store { call, request } => {
+                self.sent.store_requests += 1;
+                self.sent.store_writes += request.writes() as usize;
+                if self.now < self.nodes[node].store_cut {
+                    // Held back: applied late, when nobody waits any more.
+                    if matches!(request, StoreRequest::Transact(_)) && self.rng.random_bool(0.5) {
+                        let late = self.nodes[node].store_cut + self.rng.random_range(0..3_000);
+                        self.at(
+                            late,
+                            Happening::Store {
+                                node,
+                                life,
+                                call,
+                                request,
+                                reply: false,
+                            },
+                        );
+                    }
+                    let input = Input::Store {
+                        call,
+                        reply: StoreReply::Lost,
+                    };
+                    self.at(self.now + 2_000, Happening::Input { node, life, input });
+                    return;
+                }
+                let slow = if self.now < self.store_slow { 15 } else { 1 };
+                let delay = self.delay() * slow;
+                let lost = self.rng.random_bool(0.003);
+                if lost {
+                    let input = Input::Store {
+                        call,
+                        reply: StoreReply::Lost,
+                    };
+                    self.at(self.now + 2_000, Happening::Input { node, life, input });
+                }
+                let late = if lost { self.rng.random_range(0..8_000) } else { delay };
+                self.at(
+                    self.now + late,
+                    Happening::Store {
+                        node,
+                        life,
+                        call,
+                        request,
+                        reply: !lost,
+                    },
+                );
+            }
+            Output::Cloud { call, request } => {
+                let delay = self.rng.random_range(50..300);
+                let lost = self.rng.random_bool(0.02);
+                if lost {
+                    let input = Input::Cloud {
+                        call,
+                        reply: CloudReply::Lost,
+                    };
+                    self.at(self.now + 6_000, Happening::Input { node, life, input });
+                }
+                let late = if lost { self.rng.random_range(0..15_000) } else { delay };
+                self.at(
+                    self.now + late,
+                    Happening::Cloud {
+                        node,
+                        life,
+                        call,
+                        request,
+                        reply: !lost,
+                    },
+                );
+            }
+            Output::Worker {
+                call,
+                address,
+                commands,
+            } => {
+                self.sent.direct_commands += 1;
+                let delay = self.delay();
+                let cut = self
+                    .workers
+                    .get(&address)
+                    .map_or(0, |worker| worker.cut_until.max(worker.deaf_until))
+                    .max(self.nodes[node].worker_cut);
+                let held = self.now < cut;
+                if held || self.rng.random_bool(0.02) {
+                    let input = Input::Worker {
+                        call,
+                        reply: WorkerReply::Lost,
+                    };
+                    self.at(self.now + 2_500, Happening::Input { node, life, input });
+                    // Delivered late, perhaps minutes after its time.
+                    let late = if held { cut - self.now } else { 0 } + self.rng.random_range(0..20_000);
+                    self.at(
+                        self.now + late,
+                        Happening::Direct {
+                            node,
+                            life,
+                            call,
+                            machine: address,
+                            commands,
+                            reply: false,
+                        },
+                    );
+                } else {
+                    self.at(
+                        self.now + delay,
+                        Happening::Direct {
+                            node,
+                            life,
+                            call,
+                            machine: address,
+                            commands,
+                            reply: true,
+                        },
+                    );
+                }
+            }
+        }
+    }
+
+    pub(super) fn happen(&mut self, happening: Happening) {
+        if let Happening::Tick(node) | Happening::Input { node, .. } | Happening::ReportArrives { node, .. } =
+            &happening
+            && self.stands_still(*node)
+        {
+            // The tick first: it was due all the time.
+            let late = u64::from(!matches!(happening, Happening::Tick(_)));
+            let thaw = self.nodes[*node].frozen_until;
+            self.at(thaw + late, happening);
+            return;
+        }
+        match happening {
+            Happening::Thawed { node, life, output } => {
+                if self.nodes[node].life == life {
+                    self.output(node, life, output);
+                }
+            }
+            Happening::Tick(node) => {
+                if self.nodes[node].controller.is_some() {
+                    self.step(node, Input::Tick);
+                    self.at(self.now + 50, Happening::Tick(node));
+                }
+            }
+            Happening::Input { node, life, input } => {
+                if self.nodes[node].life == life {
+                    self.step(node, input);
+                }
+            }
+            Happening::Store {
+                node,
+                life,
+                call,
+                request,
+                reply,
+            } => self.store_call(node, life, call, request, reply),
+            Happening::Cloud {
+                node,
+                life,
+                call,
+                request,
+                reply,
+            } => {
+                let answer = self.cloud_call(&request);
+                if reply {
+                    let input = Input::Cloud { call, reply: answer };
+                    self.at(self.now + 20, Happening::Input { node, life, input });
+                }
+            }
+            Happening::Direct {
+                node,
+                life,
+                call,
+                machine,
+                commands,
+                reply,
+            } => {
+                let answer = self.direct(&machine, &commands);
+                if reply {
+                    let delay = self.delay();
+                    let input = Input::Worker { call, reply: answer };
+                    self.at(self.now + delay, Happening::Input { node, life, input });
+                }
+            }
+            Happening::ReportArrives {
+                node,
+                machine,
+                report,
+                id,
+            } => {
+                if self.nodes[node].controller.is_none() {
+                    return;
+                }
+                self.next_request += 1;
+                let request = self.next_request;
+                self.requests.insert((node, request), Waiting::Report { machine, id });
+                self.step(node, Input::Report { request, report });
+            }
+            Happening::ReportAnswered { machine, id, answer } => self.report_answered(&machine, id, &answer),
+            Happening::World => {
+                self.world();
+                self.at(self.now + 100, Happening::World);
+            }
+            Happening::User(job) => self.user(job),
+            Happening::UserAnswered { job, kind, answer } => self.user_answered(job, kind, &answer),
+            Happening::Trouble(trouble) => self.trouble(trouble),
+            Happening::Restart(node) => self.restart(node),
+        }
+    }
+
+    pub(super) fn store_call(&mut self, node: usize, life: u64, call: u64, request: StoreRequest, reply: bool) {
+        if self.now < self.store_out {
+            if let StoreRequest::Watch { wait_ms, .. } = &request
+                && *wait_ms > 0
+            {
+                let until = self.now + wait_ms;
+                self.watches.push((until, node, life, call, request));
+            } else if reply {
+                let input = Input::Store {
+                    call,
+                    reply: StoreReply::Unavailable,
+                };
+                self.at(self.now + 2, Happening::Input { node, life, input });
+            }
+            return;
+        }
+        let answer = self.store.execute(self.now, &request);
+        if let (StoreRequest::Watch { wait_ms, .. }, StoreReply::Log(log)) = (&request, &answer)
+            && *wait_ms > 0
+            && log.events.is_empty()
+        {
+            let until = self.now + wait_ms;
+            self.watches.push((until, node, life, call, request));
+            return;
+        }
+        if reply {
+            let delay = self.delay();
+            let input = Input::Store { call, reply: answer };
+            self.at(self.now + delay, Happening::Input { node, life, input });
+        }
+        self.serve_watches();
+    }
+
+    pub(super) fn serve_watches(&mut self) {
+        if self.now < self.store_out {
+            return;
+        }
+        for (until, node, life, call, request) in std::mem::take(&mut self.watches) {
+            let answer = self.store.execute(self.now, &request);
+            let empty = matches!(&answer, StoreReply::Log(log) if log.events.is_empty());
+            if (empty && self.now < until) || self.now < self.nodes[node].store_cut {
+                self.watches.push((until, node, life, call, request));
+            } else {
+                let delay = self.delay();
+                let input = Input::Store { call, reply: answer };
+                self.at(self.now + delay, Happening::Input { node, life, input });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/rules/world/users.rs
@@ -0,0 +1,202 @@
+//! Users: jobs, submissions, polls and cancellations.
+
+use super::*;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Told {
+    Nothing,
+    Accepted,
+    Done,
+    Cancelled,
+}
+
+pub struct UserJob {
+    pub spec: JobSpec,
+    pub submit_at: u64,
+    pub cancel_at: Option<u64>,
+    pub told: Told,
+    pub told_at: u64,
+    /// When a question about it was last answered.
+    pub(super) answered_at: u64,
+    /// The controller that its user is connected to.
+    pub(super) node: Option<usize>,
+    pub first_start: Option<u64>,
+    pub(super) cancel_asked: bool,
+}
+
+impl World {
+    pub(super) fn draw_job(&mut self, index: usize) -> UserJob {
+        let rng = &mut self.rng;
+        let tasks = rng.random_range(1..9);
+        let submit_at = rng.random_range(2_000..90_000);
+        UserJob {
+            spec: JobSpec {
+                id: format!("j-{index:06}"),
+                team: if rng.random_bool(0.5) { "red" } else { "blue" }.into(),
+                priority: if rng.random_bool(0.5) {
+                    Priority::High
+                } else {
+                    Priority::Low
+                },
+                tasks,
+                cpus: f64::from(rng.random_range(1..5u32)),
+                zone: rng.random_bool(0.2).then(|| "south".into()),
+                one_zone: rng.random_bool(0.2),
+                spread: rng.random_bool(0.2),
+                spot: rng.random_bool(0.7),
+                image: format!("img-{}", rng.random_range(0..3)),
+                ..World::plain_spec()
+            },
+            submit_at,
+            cancel_at: rng.random_bool(0.25).then(|| submit_at + rng.random_range(500..40_000)),
+            told: Told::Nothing,
+            told_at: 0,
+            answered_at: 0,
+            node: None,
+            first_start: None,
+            cancel_asked: false,
+        }
+    }
+
+    /// Adds a job made for a test.
+    pub fn submit(&mut self, submit_at: u64, spec: JobSpec) -> usize {
+        let index = self.jobs.len();
+        let mut job = self.draw_job(index);
+        job.spec = JobSpec {
+            id: job.spec.id,
+            ..spec
+        };
+        job.submit_at = submit_at;
+        job.cancel_at = None;
+        self.at(submit_at, Happening::User(index));
+        self.jobs.push(job);
+        index
+    }
+
+    /// A job that may run anywhere.
+    pub fn plain_spec() -> JobSpec {
+        JobSpec {
+            id: String::new(),
+            class: "sort".into(),
+            team: "red".into(),
+            kind: Kind::Array,
+            priority: Priority::High,
+            tasks: 1,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 2.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            image: "img-0".into(),
+            image_gb: 1.0,
+            estimate_s: 5.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        }
+    }
+
+    /// Gives a drawn job another shape.
+    pub fn reshape(&mut self, index: usize, tasks: u32, cancel_at: Option<u64>) {
+        let job = &mut self.jobs[index];
+        job.spec.tasks = tasks;
+        job.spec.cpus = 1.0;
+        job.spec.zone = None;
+        job.spec.one_zone = false;
+        job.spec.spread = false;
+        job.cancel_at = cancel_at;
+    }
+
+    /// A user does what is next: submit, poll, cancel.
+    pub(super) fn user(&mut self, index: usize) {
+        let job = &self.jobs[index];
+        let (kind, ask) = match job.told {
+            Told::Nothing => (0, Ask::Submit(serde_json::to_string(&job.spec).expect("json"))),
+            Told::Accepted if job.cancel_at.is_some_and(|at| self.now >= at) => (2, Ask::Cancel(job.spec.id.clone())),
+            _ => (1, Ask::Show(job.spec.id.clone())),
+        };
+        if kind == 2 {
+            self.jobs[index].cancel_asked = true;
+        }
+        // Now and then somebody asks about a job that nobody submitted.
+        let ask = if kind == 1 && self.rng.random_bool(0.05) {
+            Ask::Show(format!("j-9{index:05}"))
+        } else {
+            ask
+        };
+        let kind = if matches!(&ask, Ask::Show(id) if id.starts_with("j-9")) {
+            3
+        } else {
+            kind
+        };
+        // The load balancer knows only which controllers say that they are well.
+        let healthy: Vec<usize> = (0..self.nodes.len()).filter(|&node| self.nodes[node].healthy).collect();
+        // Open connections stay where they are while their controller is well.
+        let node = match self.jobs[index].node.filter(|node| healthy.contains(node)) {
+            Some(node) => node,
+            None if healthy.is_empty() => self.rng.random_range(0..self.nodes.len()),
+            None => healthy[self.rng.random_range(0..healthy.len())],
+        };
+        // Some users open a new one each time.
+        self.jobs[index].node = index.is_multiple_of(2).then_some(node);
+        self.at(self.now + 2_500, Happening::User(index));
+        if self.nodes[node].controller.is_none() || self.now < self.nodes[node].frozen_until {
+            return;
+        }
+        self.next_request += 1;
+        let request = self.next_request;
+        self.requests
+            .insert((node, request), Waiting::User { job: index, kind });
+        self.step(node, Input::User { request, ask });
+    }
+
+    pub(super) fn user_answered(&mut self, index: usize, kind: u8, answer: &Answer) {
+        let now = self.now;
+        let id = self.jobs[index].spec.id.clone();
+        if kind == 3 {
+            if answer.status == 200 {
+                self.broken.push(format!("invented: {}", answer.body));
+            }
+            return;
+        }
+        let job = &mut self.jobs[index];
+        if matches!(answer.status, 400 | 422) || (answer.status == 404 && job.told != Told::Nothing) {
+            self.broken.push(format!(
+                "forgotten: {id} answered {} at {now} ({})",
+                answer.status, answer.body
+            ));
+            return;
+        }
+        if !matches!(answer.status, 200 | 201) {
+            return;
+        }
+        job.answered_at = now;
+        let status: JobStatus = serde_json::from_str(&answer.body).expect("a job's state");
+        let told = match status.state {
+            Standing::Queued | Standing::Running => Told::Accepted,
+            Standing::Done => Told::Done,
+            Standing::Cancelled => Told::Cancelled,
+        };
+        let ended = matches!(job.told, Told::Done | Told::Cancelled);
+        if (ended && told != job.told) || (told == Told::Cancelled && !job.cancel_asked) {
+            self.broken
+                .push(format!("went_back: {id} was {:?}, now {told:?} at {now}", job.told));
+        }
+        if told == Told::Done {
+            let missing = (0..job.spec.tasks)
+                .filter(|task| !self.done_tasks.contains(&format!("{id}/{task}")))
+                .count();
+            if missing > 0 {
+                self.broken
+                    .push(format!("not_done: {id} lacks {missing} tasks at {now}"));
+            }
+        }
+        if job.told != told {
+            job.told = told;
+            job.told_at = now;
+        }
+    }
+}
