Act and renew only on a mirror known to be new; look at it again after a lapse

Cause (from reading, then a stand-in): renewing and reading are different requests. After a lapse it acted again on a look at the claim alone, with a mirror from before.

Now acting and renewing end once the last answered read of the watched keys was sent 5 s ago, or as much less as cancel_s leaves after a lease; settings that leave too little are named by a warning. Acting again takes a renewal and then a read that shows our claim.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -107,11 +107,15 @@
     Renew {
         sent: Millis,
     },
-    /// After a lapse: is the claim still ours?
+    /// After a claim that conflicted: is it ours?
     CheckClaim,
     ReadMirror,
     Watch,
-    Sync(u64),
+    /// Brings the mirror up to date; for questions of intake, if not 0.
+    Sync {
+        number: u64,
+        sent: Millis,
+    },
     Load(Loading),
     Commit,
     ReadEnd(u64),
@@ -165,7 +169,6 @@
     read_not_before: Millis,
     store_ok_at: Option<Millis>,
     store_asked_at: Millis,
-    checking_claim: bool,
 
     cloud: cloud::Calls,
     /// Direct commands in flight.
@@ -211,7 +214,7 @@
             outputs: Vec::new(),
             // A peer may still answer what a former life of this process asked.
             next_call: life >> 1,
-            ownership: Ownership::new(&settings.node, life),
+            ownership: Ownership::new(&settings.node, life, settings.mirror_age_ms()),
             mirror: Mirror::default(),
             catalogue: None,
             intake: Intake::default(),
@@ -228,7 +231,6 @@
             read_not_before: 0,
             store_ok_at: None,
             store_asked_at: 0,
-            checking_claim: false,
             cloud: cloud::Calls::new(settings.params.cloud.rps * 0.7),
             pushes: BTreeMap::new(),
             next_path: 0,
@@ -347,7 +349,8 @@
 
     fn sync(&mut self, number: u64) {
         self.store_asked_at = self.now;
-        self.enqueue(Purpose::Sync(number), self.watch(0));
+        let sent = self.now;
+        self.enqueue(Purpose::Sync { number, sent }, self.watch(0));
     }
 
     /// What has changed of the watched keys since the mirror's revision.
@@ -405,7 +408,13 @@
         let (first, rest): (Vec<_>, Vec<_>) = queue.into_iter().partition(|queued| {
             matches!(
                 queued.purpose,
-                Purpose::Grant | Purpose::Claim { .. } | Purpose::Renew { .. } | Purpose::CheckClaim | Purpose::Resign
+                Purpose::Grant
+                    | Purpose::Claim { .. }
+                    | Purpose::Renew { .. }
+                    | Purpose::CheckClaim
+                    | Purpose::Resign
+                    // One a second, on which acting depends.
+                    | Purpose::Sync { number: 0, .. }
             )
         });
         let urgent = first.len();
@@ -486,14 +495,17 @@
             Purpose::Claim { transaction, sent } => self.claim_answered(transaction, sent, reply),
             Purpose::Renew { sent } => self.renew_answered(sent, reply),
             Purpose::CheckClaim => self.claim_checked(reply),
-            Purpose::ReadMirror => self.mirror_read(request, reply),
+            Purpose::ReadMirror => self.mirror_page(request, reply),
             Purpose::Watch => {
                 self.watching = false;
                 let taken = self.take_log(reply);
                 self.watch_not_before = self.now + if taken { WATCH_PAUSE_MS } else { RETRY_MS };
             }
-            Purpose::Sync(number) => {
+            Purpose::Sync { number, sent } => {
                 let ok = self.take_log(reply);
+                if ok {
+                    self.mirror_read(sent);
+                }
                 if number > 0 {
                     let wants = self.with_intake(|intake, around, _| intake.synced(around, number, ok));
                     self.carry_out(wants);
@@ -516,7 +528,7 @@
         }
     }
 
-    fn mirror_read(&mut self, request: &StoreRequest, reply: StoreReply) {
+    fn mirror_page(&mut self, request: &StoreRequest, reply: StoreReply) {
         let StoreReply::Page(page) = reply else {
             self.reading = false;
             self.mirror.restart();
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -58,7 +58,6 @@
         self.share = None;
         self.reclaim_wanted = false;
         self.raising = false;
-        self.checking_claim = false;
         self.cloud.forget();
         self.pushes.clear();
         self.calls.retain(|_, (purpose, _)| !owners(purpose));
@@ -251,10 +250,9 @@
     pub(super) fn renew_answered(&mut self, sent: Millis, reply: StoreReply) {
         match reply {
             StoreReply::Renewed => {
-                self.ownership.renewed(sent);
-                if self.ownership.suspended && !self.checking_claim {
-                    self.checking_claim = true;
-                    self.enqueue(Purpose::CheckClaim, StoreRequest::Get(self.keys.owner()));
+                self.ownership.renewed(self.now, sent);
+                if self.ownership.suspended {
+                    self.sync(0);
                 }
             }
             StoreReply::LeaseGone if self.ownership.holds_claim() => {
@@ -265,20 +263,39 @@
         }
     }
 
+    /// The mirror holds all that was written before `sent`. After a lapse that is
+    /// what acting again waits for: a cancellation may have come in the meantime,
+    /// and the claim may be another's.
+    pub(super) fn mirror_read(&mut self, sent: Millis) {
+        self.ownership.mirror_read(sent);
+        if !self.ownership.may_resume(self.now, sent) {
+            return;
+        }
+        let claim = self.mirror.owner.as_ref();
+        let ours = claim
+            .is_some_and(|(owner, version)| self.ownership.is_mine(owner) && *version == self.ownership.claim_version);
+        if ours {
+            self.ownership.resume();
+        } else {
+            self.stand_by(0);
+        }
+    }
+
     pub(super) fn claim_checked(&mut self, reply: StoreReply) {
-        self.checking_claim = false;
+        if self.ownership.phase != Phase::Claiming {
+            return;
+        }
         match reply {
             StoreReply::Found { value, version } => {
-                let mine = serde_json::from_value(value).is_ok_and(|owner| self.ownership.is_mine(&owner));
-                match (mine, self.ownership.phase) {
-                    (true, Phase::Claiming) => self.claimed(version),
-                    (true, _) if version == self.ownership.claim_version => self.ownership.resume(self.now),
-                    _ => self.stand_by(0),
+                let owner = serde_json::from_value(value);
+                if owner.is_ok_and(|owner| self.ownership.is_mine(&owner)) {
+                    self.claimed(version);
+                } else {
+                    self.stand_by(0);
                 }
             }
             StoreReply::Missing => self.stand_by(0),
-            _ if self.ownership.phase == Phase::Claiming => self.stand_by(500),
-            _ => {}
+            _ => self.stand_by(500),
         }
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -121,6 +121,9 @@
         .with(targets)
         .init();
     let (settings, policy) = load(files)?;
+    for warning in settings.warnings() {
+        tracing::warn!("{warning}");
+    }
     runtime()?.block_on(runtime::serve(settings, policy))?;
     Ok(())
 }
@@ -138,6 +141,9 @@
         params.teams.len(),
         params.zones.join(", ")
     );
+    for warning in settings.warnings() {
+        println!("warning: {warning}");
+    }
     for (name, value) in policy.entries() {
         println!("policy {name} = {value}");
     }
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -3,7 +3,9 @@
 //! One key holds the claim and is attached to a lease of the state service; the
 //! claiming transaction also raises the term, which is the worker token. The
 //! lease's validity is reckoned from when the last successful renewal was
-//! *sent*, so it may be found lapsed early, never late.
+//! *sent*, so it may be found lapsed early, never late. So is the age of the
+//! mirror: an owner that renews but no longer hears what users cancel through
+//! others would keep their workers' leases alive, so it neither acts nor renews.
 
 use crate::Millis;
 use crate::store::{Keys, Mirror, OwnerValue};
@@ -40,13 +42,20 @@
     pub claim_version: u64,
     lease: Option<u64>,
     valid_until: Millis,
+    /// How old the mirror of the watched keys may be while the owner acts, and
+    /// until when it is young enough.
+    mirror_age_ms: Millis,
+    mirror_until: Millis,
     /// When the request now in flight was sent, if any.
     asked_at: Option<Millis>,
     next_renewal: Millis,
     hold_off_until: Millis,
     vacant_since: Option<Millis>,
-    /// The lapse of the lease was noticed: acting again needs a look at the claim.
+    /// A lapse was noticed, of the lease or of the mirror: acting again needs a
+    /// renewal and then a mirror that shows our claim.
     pub suspended: bool,
+    /// When the first renewal after a lapse was answered.
+    renewed_again_at: Option<Millis>,
 }
 
 /// What ownership wants sent.
@@ -57,7 +66,7 @@
 }
 
 impl Ownership {
-    pub fn new(node: &str, life: u64) -> Ownership {
+    pub fn new(node: &str, life: u64, mirror_age_ms: Millis) -> Ownership {
         Ownership {
             node: node.into(),
             life,
@@ -66,17 +75,24 @@
             claim_version: 0,
             lease: None,
             valid_until: 0,
+            mirror_age_ms,
+            mirror_until: 0,
             asked_at: None,
             next_renewal: 0,
             hold_off_until: 0,
             vacant_since: None,
             suspended: false,
+            renewed_again_at: None,
         }
     }
 
-    /// True while the lease is surely ours.
+    /// True while the lease is surely ours and the mirror young enough.
     pub fn proven(&self, now: Millis) -> bool {
-        matches!(self.phase, Phase::Loading | Phase::Active) && !self.suspended && now < self.valid_until
+        matches!(self.phase, Phase::Loading | Phase::Active) && !self.suspended && self.sure(now)
+    }
+
+    fn sure(&self, now: Millis) -> bool {
+        now < self.valid_until.min(self.mirror_until)
     }
 
     pub fn acting(&self, now: Millis) -> bool {
@@ -96,9 +112,15 @@
 
     /// What to send now. `others_heard`: whether another controller is in reach.
     pub fn poll(&mut self, now: Millis, mirror: &Mirror, others_heard: bool) -> Option<Wish> {
-        if self.holds_claim() && now >= self.valid_until && !self.suspended {
-            tracing::warn!(term = self.term, "the lease can't be shown valid; acting no more");
+        if self.holds_claim() && !self.sure(now) && !self.suspended {
+            let lease = now < self.valid_until;
+            tracing::warn!(
+                term = self.term,
+                lease,
+                "the lease can't be shown valid, or the mirror new; acting no more"
+            );
             self.suspended = true;
+            self.renewed_again_at = None;
         }
         match self.phase {
             Phase::Standby => {
@@ -125,7 +147,8 @@
             }
             Phase::Granting | Phase::Claiming => None,
             Phase::Loading | Phase::Active => {
-                if now < self.next_renewal {
+                // One that can't read stands in the way of one that can.
+                if now < self.next_renewal || now >= self.mirror_until {
                     return None;
                 }
                 self.next_renewal = now + RENEW_EVERY_MS;
@@ -188,8 +211,23 @@
         owner.node == self.node && owner.life == self.life && owner.term == self.term
     }
 
-    pub fn renewed(&mut self, sent: Millis) {
+    pub fn renewed(&mut self, now: Millis, sent: Millis) {
         self.valid_until = self.valid_until.max(sent + LEASE_MS - MARGIN_MS);
+        if self.suspended && now < self.valid_until {
+            self.renewed_again_at.get_or_insert(now);
+        }
+    }
+
+    /// A read sent then brought the mirror up to date.
+    pub fn mirror_read(&mut self, sent: Millis) {
+        self.mirror_until = self.mirror_until.max(sent + self.mirror_age_ms);
+    }
+
+    /// Suspended, and the mirror read that was sent then is newer than the
+    /// renewal: what it shows of the claim decides.
+    pub fn may_resume(&self, now: Millis, read_sent: Millis) -> bool {
+        let newer = self.renewed_again_at.is_some_and(|at| read_sent >= at);
+        self.holds_claim() && self.suspended && newer && self.sure(now)
     }
 
     pub fn renewal_failed(&mut self, now: Millis) {
@@ -197,11 +235,9 @@
     }
 
     /// The claim was looked at after a lapse and is still ours.
-    pub fn resume(&mut self, now: Millis) {
-        if now < self.valid_until {
-            tracing::info!(term = self.term, "the claim still holds; acting again");
-            self.suspended = false;
-        }
+    pub fn resume(&mut self) {
+        tracing::info!(term = self.term, "the claim still holds; acting again");
+        self.suspended = false;
     }
 
     pub fn step_down(&mut self, now: Millis, hold_off: Millis) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,6 +15,13 @@
     Invalid { field: String, reason: String },
 }
 
+/// Drift of two clocks against each other, and time for a lapse to be noticed.
+const DRIFT: f64 = 1.002;
+const SETTLE_S: f64 = 1.0;
+/// Watched keys are read once a second; two reads in a row may fail.
+const LEAST_MIRROR_AGE_MS: crate::Millis = 2_500;
+const MOST_MIRROR_AGE_MS: crate::Millis = 5_000;
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
     pub node: String,
@@ -121,6 +128,29 @@
         Ok(settings)
     }
 
+    /// How old the owner's knowledge of cancellations may be while it answers
+    /// workers: from the confirmation of a cancellation until the lease that the
+    /// last answer renewed has surely lapsed, no more than `cancel_s` may pass.
+    pub fn mirror_age_ms(&self) -> crate::Millis {
+        let workers = &self.params.workers;
+        let rest_s = workers.cancel_s - workers.lease_s * DRIFT - SETTLE_S;
+        crate::millis(rest_s).clamp(LEAST_MIRROR_AGE_MS, MOST_MIRROR_AGE_MS)
+    }
+
+    /// What is odd but no reason not to start.
+    pub fn warnings(&self) -> Vec<String> {
+        let workers = &self.params.workers;
+        let least = workers.lease_s * DRIFT + SETTLE_S + LEAST_MIRROR_AGE_MS as f64 / 1000.0;
+        if workers.cancel_s >= least {
+            return Vec::new();
+        }
+        vec![format!(
+            "setting `params.workers.cancel_s`: tasks of a cancelled job may outlast {} s where the state service \
+             fails meanwhile; with leases of {} s it takes {least:.1} s",
+            workers.cancel_s, workers.lease_s
+        )]
+    }
+
     fn validate(&self) -> Result<(), SettingsError> {
         let invalid = |field: &str, reason: &str| {
             Err(SettingsError::Invalid {
