Let no job wait beside an idle machine for an earlier attempt or old failures

Also found by reading: a start left in doubt for a whole term kept all ended tasks of its machine in its reports; and stops could be cut off behind 400 other commands.

Now such machines are left out for the round only; failures are forgotten after 10 s without room; 40 ended tasks held by a doubt raise the term; stops go first. Each with a test that fails without it.

--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -132,6 +132,14 @@
         wall_ms + again < self.due_ms && !self.old(wall_ms)
     }
 
+    /// Short of room for long: the machines that it failed on may be the only ones
+    /// that fit it.
+    pub fn forgive(&mut self, now: Millis) {
+        if self.short_since.is_some_and(|since| now > since + AVOID_MS) {
+            self.failed_on.clear();
+        }
+    }
+
     /// The next task to place, without taking it.
     pub fn peek(&mut self, now: Millis) -> Option<u32> {
         if let Some(&(at, task)) = self.retry.front()
@@ -172,6 +180,8 @@
 /// A job this old goes before all younger ones, whatever their priority: the
 /// order by priority and deadline alone could put it off for ever.
 const OLD_MS: Millis = 300_000;
+/// How long a job that is short of room keeps off the machines it failed on.
+const AVOID_MS: Millis = 10_000;
 const NO_AIM_MS: Millis = 600_000;
 /// Waiting and fetching again, before a stopped task runs again.
 const SLACK_MS: Millis = 45_000;
--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -71,7 +71,7 @@
 
     /// Algorithm 1: most of the input first; then cheap machines, the smallest
     /// type and the fullest machine, so that others fall idle and go back.
-    pub fn search(&mut self, share: &Share, job: &Job, zones: &Option<Vec<Ix>>) -> Search {
+    pub fn search(&mut self, share: &Share, job: &Job, zones: &Option<Vec<Ix>>, avoid: &[Ix]) -> Search {
         let holders = self.holders.entry(job.image).or_insert_with(|| {
             let machines = self.slots.iter().map(|slot| share.machines.get(slot.machine));
             machines
@@ -84,6 +84,7 @@
             if !job.shape.allows(slot.type_ix, slot.zone, slot.spot)
                 || zones.as_ref().is_some_and(|zones| !zones.contains(&slot.zone))
                 || job.failed_on.contains(&slot.machine)
+                || avoid.contains(&slot.machine)
             {
                 continue;
             }
--- a/src/placement/board/tests.rs
+++ b/src/placement/board/tests.rs
@@ -51,7 +51,7 @@
             let job = share.jobs.get(job_ix).expect("there");
             let expected = plain_scan(&share, job);
             let (room, image) = (job.shape.room, job.image);
-            let found = board.search(&share, job, &None);
+            let found = board.search(&share, job, &None, &[]);
             prop_assert_eq!(found.best.map(|place| board.machine_at(place)), expected);
             let Some(place) = found.best else {
                 break;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -84,6 +84,10 @@
             .chain(self.placement_order().into_iter().map(|ix| (ix, false)))
             .collect();
         for (ix, starving) in order {
+            // Machines that still list an earlier attempt of its next task: a start
+            // of that one may be on its way there, and does nothing only while it
+            // is listed.
+            let mut listing = Vec::new();
             loop {
                 if planned >= ROUND {
                     return;
@@ -107,18 +111,14 @@
                     held[team as usize] |= pressing;
                     break;
                 }
-                let choice = self.choose(now, ix, &mut board);
+                let choice = self.choose(now, ix, &listing, &mut board);
                 self.note_short(now, ix, &choice);
                 match choice {
-                    // A start of the earlier attempt may still be on its way
-                    // there; it does nothing only while that one is listed.
                     Choice::Place(slot) if self.lists_earlier(board.machine_at(slot), ix, task) => {
-                        match self.jobs.get_mut(ix) {
-                            Some(job) if job.failed_on.len() < 3 => job.failed_on.push(board.machine_at(slot)),
-                            _ => break,
-                        }
+                        listing.push(board.machine_at(slot));
                     }
                     Choice::Place(slot) => {
+                        listing.clear();
                         board.note_image(slot, job_image);
                         self.open_attempt(ix, task, board.take(slot, room));
                         planned += 1;
@@ -133,9 +133,12 @@
                         break;
                     }
                     Choice::NoRoom => {
-                        // Small tasks would fill for ever what it needs whole.
-                        if let Some(job) = self.jobs.get(ix).filter(|_| pressing) {
-                            board.reserve(&job.shape);
+                        if let Some(job) = self.jobs.get_mut(ix) {
+                            job.forgive(now);
+                            // Small tasks would fill for ever what it needs whole.
+                            if pressing {
+                                board.reserve(&job.shape);
+                            }
                         }
                         break;
                     }
@@ -216,7 +219,7 @@
         order.into_iter().map(|(.., ix)| ix).collect()
     }
 
-    fn choose(&self, now: Millis, ix: Ix, board: &mut Board) -> Choice {
+    fn choose(&self, now: Millis, ix: Ix, avoid: &[Ix], board: &mut Board) -> Choice {
         let Some(job) = self.jobs.get(ix) else {
             return Choice::NoRoom;
         };
@@ -224,11 +227,11 @@
             return Choice::NoRoom;
         }
         let zones = self.zones_open_to(job);
-        let search = board.search(self, job, &zones);
+        let search = board.search(self, job, &zones, avoid);
         let Some(best) = search.best else {
             // Other jobs of this shape need not look, unless it was only this
             // one that could not use what there is.
-            if zones.is_none() && job.failed_on.is_empty() {
+            if zones.is_none() && job.failed_on.is_empty() && avoid.is_empty() {
                 board.note_full(&job.shape);
             }
             return Choice::NoRoom;
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -11,6 +11,9 @@
 /// doubt: a worker that lost its controller tries the next one after 5 s.
 const LATE_MS: Millis = 6_000;
 
+/// Ended tasks that a machine may have to list because one start is in doubt.
+const MANY_ENDED: usize = 40;
+
 /// How a report came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Path {
@@ -131,6 +134,12 @@
                 _ => 0,
             };
         }
+        // A start of this term that may still arrive keeps ended tasks listed, and
+        // reports may not grow without end.
+        self.withdraw |= self.machines.get(ix).is_some_and(|machine| {
+            let ended = machine.strays.iter().filter(|stray| stray.state == TaskState::Exited);
+            machine.doubt >= self.term && ended.count() >= MANY_ENDED
+        });
         if self.machines.get(ix).is_some_and(|machine| machine.misses > 0) {
             // An answer to a direct command clears it at once.
             self.to_push.insert(ix);
@@ -243,6 +252,8 @@
                 commands.push(command);
             }
         }
+        // Stops first: whatever has to wait for the next answer, they must not.
+        commands.sort_by_key(|command| !matches!(command, Command::Stop { .. }));
         commands.truncate(400);
         commands
     }
--- a/src/workers/merge/tests.rs
+++ b/src/workers/merge/tests.rs
@@ -237,6 +237,95 @@
     assert_eq!(share.machines.get(machine).expect("there").open.len(), 1);
 }
 
+/// Guards against a job that waited for ever beside an idle machine: the one that
+/// held its image listed an earlier attempt, and was tried first every time
+/// (jobs bound to a zone, seed 199).
+#[test]
+fn a_machine_that_lists_an_earlier_attempt_does_not_hide_the_others() {
+    let mut share = share_with(5, &[("small", 8.0), ("small", 8.0)], 1, false);
+    let stale = |name: &str, seq, tasks| Report {
+        machine: name.into(),
+        ..report(1, seq, 5, tasks)
+    };
+    for name in ["host-1", "host-2"] {
+        share.merge_report(0, &stale(name, 1, Vec::new()), Path::Answered);
+        let machine = share.machines.find(name).expect("known");
+        let known = share.machines.get_mut(machine).expect("there");
+        known.written = true;
+        known.report_due = Millis::MAX;
+    }
+    let job = share.jobs.find("j-1").expect("known");
+    let image = share.jobs.get(job).expect("there").image;
+    let listing = share.machines.find("host-1").expect("known");
+    share.machines.get_mut(listing).expect("there").touch(image, 1.0, 50.0);
+    let ended = task(TaskState::Exited, Some(Why::Stopped));
+    share.merge_report(10, &stale("host-1", 2, vec![ended]), Path::Sent);
+    // Three machines that are long gone fill what it remembers.
+    share.jobs.get_mut(job).expect("there").failed_on = vec![90, 91, 92];
+    share.place(20);
+    let other = share.machines.find("host-2").expect("known");
+    assert_eq!(share.machines.get(other).expect("there").open.len(), 1);
+}
+
+/// Guards against a job that keeps off the only machines that fit it: it had
+/// failed on each while they were sick.
+#[test]
+fn a_job_goes_back_to_the_machines_it_failed_on_when_no_other_fits() {
+    let (mut share, machine) = share();
+    let attempt = share.machines.get(machine).expect("there").open[0];
+    share.close(0, attempt, Outcome::Error);
+    for now in [6_000, 12_000] {
+        share.place(now);
+        assert_eq!(open(&share), 0);
+    }
+    share.place(17_000);
+    share.place(17_500);
+    assert_eq!(open(&share), 1);
+}
+
+/// Guards against reports that grow for as long as a term lasts: while a start
+/// of it may still arrive, no ended task can be forgotten.
+#[test]
+fn a_start_in_doubt_does_not_let_reports_grow_for_ever() {
+    let (mut share, machine) = share();
+    share.machines.get_mut(machine).expect("there").doubt = 5;
+    let ended = |number: usize| TaskReport {
+        task: format!("j-7/{number}"),
+        ..task(TaskState::Exited, Some(Why::Done))
+    };
+    let few = (0..MANY_ENDED - 1).map(ended).collect();
+    share.merge_report(10, &report(1, 2, 5, few), Path::Sent);
+    assert!(!share.withdraw);
+    let many = (0..MANY_ENDED).map(ended).collect();
+    share.merge_report(20, &report(1, 3, 5, many), Path::Sent);
+    assert!(share.withdraw);
+    share.term = 6;
+    let forgets = share.commands(30, machine).into_iter();
+    assert_eq!(
+        forgets.filter(|c| matches!(c, Command::Forget { .. })).count(),
+        MANY_ENDED
+    );
+}
+
+/// Guards against a stop that is dropped for good behind many other commands.
+#[test]
+fn stops_go_before_all_other_commands() {
+    let (mut share, machine) = share();
+    let mut tasks: Vec<TaskReport> = (0..500)
+        .map(|number| TaskReport {
+            task: format!("j-7/{number}"),
+            ..task(TaskState::Exited, Some(Why::Done))
+        })
+        .collect();
+    tasks.push(TaskReport {
+        task: "j-8/0".into(),
+        ..task(TaskState::Running, None)
+    });
+    share.merge_report(10, &report(1, 2, 5, tasks), Path::Sent);
+    let commands = share.commands(20, machine);
+    assert!(matches!(&commands[0], Command::Stop { task, .. } if task == "j-8/0"));
+}
+
 /// Guards against an index that a job leaves behind in the ledger: it was
 /// given to a smaller job, and writing its chunk ended the process.
 #[test]
