--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -1,6 +1,8 @@
 //! The rules of the protocol under seeded troubles, controllers against
 //! stand-ins. The same seeds every time.
 
+mod meetings;
+mod reports;
 mod world;
 
 use rand::rngs::StdRng;
@@ -16,8 +18,13 @@
 }
 
 fn check_with(seed: u64, nodes: usize, troubles: Vec<(u64, Trouble)>) {
-    let mut world = World::new(seed, nodes, 24, troubles.clone());
-    world.run(world.calm_at.max(100_000) + 200_000);
+    play(World::new(seed, nodes, 24, troubles.clone()), seed, &troubles);
+}
+
+/// To the end of all troubles and well beyond: no rule broken, no job left over.
+fn play(mut world: World, seed: u64, troubles: &[(u64, Trouble)]) -> World {
+    world.run(world.calm_at.max(100_000) + 200_000 * world.run_times.min(3));
+    world.check_largest();
     assert!(
         world.broken.is_empty(),
         "seed {seed}: {:?}\n{troubles:#?}",
@@ -31,6 +38,7 @@
     let open: Vec<_> = open.iter().map(|job| (&job.spec.id, job.told)).collect();
     assert!(open.is_empty(), "seed {seed}: never finished {open:?}\n{troubles:#?}");
     assert!(world.starts > 0);
+    world
 }
 
 fn draw(rng: &mut StdRng, nodes: usize) -> Trouble {
--- a/tests/rules/world/checks.rs
+++ b/tests/rules/world/checks.rs
@@ -33,6 +33,9 @@
             self.broken
                 .push(format!("wrong_place: {task} on {machine}, {zones:?} at {now}"));
         }
+        if job.told == Told::Cancelled {
+            self.starts_after_cancel += 1;
+        }
         if job.told == Told::Cancelled && now > job.told_at + CANCEL_MS {
             self.broken.push(format!("ran_cancelled: {task} started at {now}"));
         }
@@ -75,4 +78,131 @@
             }
         }
     }
+
+    /// Nothing of a cancelled job is on a machine beyond `cancel_s`, also where
+    /// it hangs or can't be reached.
+    pub(super) fn check_cancelled(&mut self) {
+        for (task, machines) in self.on.iter().filter(|(_, machines)| !machines.is_empty()) {
+            let job = self.job_of(task).map(|index| &self.jobs[index]);
+            let Some(job) = job.filter(|job| job.told == Told::Cancelled) else {
+                continue;
+            };
+            let after = self.now - job.told_at;
+            self.longest_cancelled = self.longest_cancelled.max(after);
+            if after > CANCEL_MS {
+                self.broken
+                    .push(format!("ran_cancelled: {task} on {machines:?} at {}", self.now));
+            }
+        }
+    }
+
+    /// Once troubles are over, no task waits for 90 s while a machine that fits
+    /// has room and its team is under its limit.
+    pub(super) fn check_waiting(&mut self) {
+        for index in 0..self.jobs.len() {
+            let job = &self.jobs[index];
+            let waits = job.told == Told::Accepted
+                && job.cancel_at.is_none_or(|at| self.now < at)
+                && self.now > self.calm_at
+                && self.waits_beside_room(job);
+            let job = &mut self.jobs[index];
+            if !waits {
+                job.waits_since = None;
+                continue;
+            }
+            let since = *job.waits_since.get_or_insert(self.now);
+            if self.now > since + WAITING_MS {
+                let id = job.spec.id.clone();
+                self.broken
+                    .push(format!("waiting: {id} since {since}, at {}", self.now));
+            }
+        }
+    }
+
+    fn waits_beside_room(&self, job: &UserJob) -> bool {
+        let spec = &job.spec;
+        let mut placed: BTreeMap<&str, u32> = BTreeMap::new();
+        let mut held = 0;
+        for worker in self.workers.values().filter(|worker| worker.up(self.now)) {
+            let of_job = worker.tasks.iter().filter(|(task, running)| {
+                running.state != TaskState::Exited && task.split('/').next() == Some(spec.id.as_str())
+            });
+            let count = of_job.count() as u32;
+            if count > 0 {
+                *placed.entry(worker.zone.as_str()).or_default() += count;
+                held += count;
+            }
+        }
+        let prefix = format!("{}/", spec.id);
+        let done = self
+            .done_tasks
+            .range(prefix.clone()..)
+            .take_while(|task| task.starts_with(&prefix));
+        if done.count() as u32 + held >= spec.tasks {
+            return false;
+        }
+        if self.used_by(&spec.team) + spec.cpus > self.team_cpus + 1e-6 {
+            return false;
+        }
+        self.workers.values().any(|worker| {
+            let zone = worker.zone.as_str();
+            let there = placed.get(zone).copied().unwrap_or(0);
+            worker.well(self.now)
+                && spec.zone.as_ref().is_none_or(|wanted| wanted == zone)
+                && (spec.spot || !worker.spot)
+                && (!spec.one_zone || placed.keys().all(|&other| other == zone))
+                && (!spec.spread || there < spec.tasks.div_ceil(2))
+                && self.free_cpus(worker) >= spec.cpus
+        })
+    }
+
+    /// What the tasks on a machine, fetching ones included, leave of it.
+    fn free_cpus(&self, worker: &Worker) -> f64 {
+        let all = if worker.machine_type == "small" { 4.0 } else { 8.0 };
+        let open = worker
+            .tasks
+            .iter()
+            .filter(|(_, running)| running.state != TaskState::Exited);
+        let used = open.filter_map(|(task, _)| Some(self.jobs[self.job_of(task)?].spec.cpus));
+        all - used.sum::<f64>()
+    }
+
+    /// What a team's tasks take, fetching ones included.
+    fn used_by(&self, team: &str) -> f64 {
+        let workers = self.workers.values().filter(|worker| worker.up(self.now));
+        let tasks = workers.flat_map(|worker| worker.tasks.iter());
+        let open = tasks.filter(|(_, running)| running.state != TaskState::Exited);
+        let specs = open.filter_map(|(task, _)| Some(&self.jobs[self.job_of(task)?].spec));
+        specs.filter(|spec| spec.team == team).map(|spec| spec.cpus).sum()
+    }
+
+    /// The largest jobs have to begin within four minutes, troubles aside.
+    pub fn check_largest(&mut self) {
+        for team in ["red", "blue"] {
+            let of_team = self
+                .jobs
+                .iter()
+                .filter(|job| job.spec.team == team && job.cancel_at.is_none());
+            let Some(largest) = of_team.max_by_key(|job| (job.spec.tasks, job.spec.id.clone())) else {
+                continue;
+            };
+            let from = largest.submit_at.max(self.calm_at);
+            if largest.first_start.is_none_or(|at| at > from + LARGEST_MS) {
+                let id = &largest.spec.id;
+                self.broken.push(format!(
+                    "late: {id}, the largest of {team}, began at {:?}",
+                    largest.first_start
+                ));
+            }
+        }
+    }
+
+    pub(super) fn job_of(&self, task: &str) -> Option<usize> {
+        let id = task.split('/').next()?;
+        let index: usize = id.strip_prefix("j-")?.parse().ok()?;
+        self.jobs
+            .get(index)
+            .is_some_and(|job| job.spec.id == id)
+            .then_some(index)
+    }
 }
--- a/tests/rules/world/faults.rs
+++ b/tests/rules/world/faults.rs
@@ -63,6 +63,58 @@
     PeersRefuse {
         ms: u64,
     },
+    /// Refused by the state service alone; its open watches wait.
+    Refused {
+        node: usize,
+        ms: u64,
+    },
+    /// Its reads of the state service get no answer, while writes and renewals do.
+    ReadsLost {
+        node: usize,
+        ms: u64,
+    },
+    /// All machines fail what they run.
+    AllSick {
+        ms: u64,
+    },
+    /// A third of the transactions get no answer and are carried out seconds
+    /// later, after newer ones.
+    LateWrites {
+        ms: u64,
+    },
+    /// Reaches no controller, while direct commands reach it.
+    MachineMute {
+        ms: u64,
+    },
+    /// Executes nothing and answers nothing, and goes on within its lease.
+    MachineHangs {
+        ms: u64,
+    },
+    /// Direct commands, or their answers, are held up for seconds.
+    HeldCommands {
+        ms: u64,
+    },
+    /// Users call off all that runs at once; the machines of some hang then.
+    CancelNow {
+        hang_ms: u64,
+    },
+    /// Half of the jobs that end are called off at the moment of their end.
+    CancelAtEnd {
+        ms: u64,
+    },
+    /// All controllers are gone for this long.
+    AllAway {
+        ms: u64,
+    },
+    /// The south is cut off, with its machines and one controller.
+    SouthAlone {
+        ms: u64,
+    },
+    /// Users repeat submissions, cancel what is done, and send jobs that can't
+    /// run or lack a field.
+    OddRequests {
+        ms: u64,
+    },
     StoreSlow {
         ms: u64,
     },
@@ -84,7 +136,18 @@
             | Trouble::MachineDeaf { ms }
             | Trouble::LateCopies { ms }
             | Trouble::PeersRefuse { ms }
+            | Trouble::Refused { ms, .. }
+            | Trouble::ReadsLost { ms, .. }
+            | Trouble::AllSick { ms }
+            | Trouble::MachineMute { ms }
+            | Trouble::MachineHangs { ms }
+            | Trouble::CancelAtEnd { ms }
+            | Trouble::AllAway { ms }
+            | Trouble::SouthAlone { ms }
+            | Trouble::OddRequests { ms }
             | Trouble::StoreSlow { ms } => *ms,
+            Trouble::LateWrites { ms } | Trouble::HeldCommands { ms } => ms + 12_000,
+            Trouble::CancelNow { hang_ms } => *hang_ms,
             _ => 5_000,
         }
     }
@@ -113,6 +176,41 @@
                 self.nodes[node].store_cut = self.now + ms;
                 self.nodes[node].peer_cut = self.now + ms;
             }
+            Trouble::Refused { node, ms } => {
+                let node = self.pick_node(node);
+                self.nodes[node].refused = self.now + ms;
+            }
+            Trouble::ReadsLost { node, ms } => {
+                let node = self.pick_node(node);
+                self.nodes[node].reads_lost = self.now + ms;
+            }
+            Trouble::AllSick { ms } => {
+                for worker in self.workers.values_mut() {
+                    worker.sick_until = self.now + ms;
+                }
+            }
+            Trouble::LateWrites { ms } => self.late_writes = self.now + ms,
+            Trouble::HeldCommands { ms } => self.held_commands = self.now + ms,
+            Trouble::CancelAtEnd { ms } => self.cancel_at_end = self.now + ms,
+            Trouble::OddRequests { ms } => self.odd_requests = self.now + ms,
+            Trouble::SouthAlone { ms } => self.south_alone = self.now + ms,
+            Trouble::AllAway { ms } => {
+                for node in 0..self.nodes.len() {
+                    self.crash(node, ms);
+                }
+            }
+            Trouble::CancelNow { hang_ms } => self.cancel_now(hang_ms),
+            Trouble::MachineMute { ms } => {
+                let now = self.now;
+                if let Some(worker) = self.pick_worker() {
+                    worker.mute_until = now + ms;
+                }
+            }
+            Trouble::MachineHangs { ms } => {
+                if let Some(name) = self.pick_worker().map(|worker| worker.name.clone()) {
+                    self.hang(&name, ms);
+                }
+            }
             Trouble::PeersRefuse { ms } => self.peers_refuse = self.now + ms,
             Trouble::StoreSlow { ms } => self.store_slow = self.now + ms,
             Trouble::LateCopies { ms } => self.copies = self.now + ms,
@@ -163,7 +261,7 @@
             }
             Trouble::MachineSick => {
                 if let Some(worker) = self.pick_worker() {
-                    worker.sick = true;
+                    worker.sick_until = u64::MAX;
                 }
             }
         }
@@ -199,4 +297,44 @@
         let pick = self.rng.random_range(0..up.len());
         self.workers.get_mut(&up[pick])
     }
+
+    /// A machine that hangs goes on within its lease, or not at all.
+    pub(super) fn hang(&mut self, name: &str, ms: u64) {
+        let now = self.now;
+        if let Some(worker) = self.workers.get_mut(name) {
+            let until = (now + ms).min(worker.lease_from + LEASE_MS);
+            if until > now && now >= worker.hung_until {
+                worker.hung_until = until;
+                for running in worker.tasks.values_mut() {
+                    running.until += until - now;
+                }
+            }
+        }
+    }
+
+    /// What runs is called off, up to eight jobs' machines hang meanwhile.
+    fn cancel_now(&mut self, hang_ms: u64) {
+        let mut hangs = BTreeSet::new();
+        for (task, machines) in &self.on {
+            let Some(index) = self.job_of(task) else {
+                continue;
+            };
+            let job = &mut self.jobs[index];
+            if job.told == Told::Accepted && job.cancel_at.is_none_or(|at| at > self.now) && !machines.is_empty() {
+                job.cancel_at = Some(self.now);
+                if hangs.len() < 8 {
+                    hangs.extend(machines.iter().cloned());
+                }
+            }
+        }
+        for index in 0..self.jobs.len() {
+            if self.jobs[index].cancel_at == Some(self.now) {
+                let at = self.now + self.rng.random_range(0..200);
+                self.at(at, Happening::UserNow(index));
+            }
+        }
+        for name in hangs.into_iter().filter(|_| hang_ms > 0) {
+            self.hang(&name, hang_ms);
+        }
+    }
 }
--- a/tests/rules/world/machines.rs
+++ b/tests/rules/world/machines.rs
@@ -14,7 +14,8 @@
     }
 
     pub(super) fn run_ms(&self) -> impl Fn(&str) -> u64 + use<> {
-        |task: &str| 1_500 + (task.bytes().map(u64::from).sum::<u64>() * 37) % 9_000
+        let times = self.run_times;
+        move |task: &str| (1_500 + (task.bytes().map(u64::from).sum::<u64>() * 37) % 9_000) * times
     }
 
     pub(super) fn direct(&mut self, machine: &str, commands: &DirectCommands) -> WorkerReply {
@@ -42,7 +43,7 @@
         let Some((out, sent)) = worker.report_out else {
             return;
         };
-        if out != id || now < worker.cut_until.max(worker.deaf_until) {
+        if out != id || now < worker.cut_until.max(worker.deaf_until).max(worker.hung_until) {
             return;
         }
         worker.report_out = None;
@@ -79,6 +80,7 @@
                         machines.remove(machine);
                     }
                     if done {
+                        self.ended_now(&task);
                         self.done_tasks.insert(task);
                     }
                 }
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -30,7 +30,11 @@
 
 pub const LEASE_MS: u64 = 20_000;
 pub const CANCEL_MS: u64 = 40_000;
+/// The controller in the south.
+const SOUTH_NODE: usize = 1;
 const KNOWN_MS: u64 = 75_000;
+const WAITING_MS: u64 = 90_000;
+const LARGEST_MS: u64 = 240_000;
 const TEAM_CPUS: f64 = 24.0;
 
 const SETTINGS: &str = r#"
@@ -117,9 +121,13 @@
     },
     World,
     User(usize),
+    /// A request of a user out of turn.
+    UserNow(usize),
     UserAnswered {
         job: usize,
         kind: u8,
+        /// When the controller gave it.
+        given: u64,
         answer: Answer,
     },
     Trouble(Trouble),
@@ -141,6 +149,8 @@
     store_cut: u64,
     peer_cut: u64,
     worker_cut: u64,
+    refused: u64,
+    reads_lost: u64,
     frozen_until: u64,
     /// Inputs that it still takes before it stands still.
     last_inputs: u32,
@@ -167,6 +177,11 @@
     cloud_out: u64,
     peers_refuse: u64,
     copies: u64,
+    late_writes: u64,
+    held_commands: u64,
+    cancel_at_end: u64,
+    odd_requests: u64,
+    south_alone: u64,
     watches: Vec<(u64, usize, u64, u64, StoreRequest)>,
     workers: BTreeMap<String, Worker>,
     hired: BTreeMap<String, Vec<String>>,
@@ -180,10 +195,16 @@
     pub done_tasks: BTreeSet<String>,
     pub broken: Vec<String>,
     pub starts: u64,
+    /// Starts of jobs whose users had been told that they are cancelled.
+    pub starts_after_cancel: u64,
+    /// The longest that a task stayed on a machine after its user was told so.
+    pub longest_cancelled: u64,
     pub calm_at: u64,
     pub sent: Sent,
     /// Machines to be had of each zone and kind.
     capacity: usize,
+    /// How many times longer than usual tasks run.
+    pub run_times: u64,
     team_cpus: f64,
 }
 
@@ -211,6 +232,8 @@
                 store_cut: 0,
                 peer_cut: 0,
                 worker_cut: 0,
+                refused: 0,
+                reads_lost: 0,
                 frozen_until: 0,
                 last_inputs: 0,
                 healthy: false,
@@ -229,6 +252,11 @@
             cloud_out: 0,
             peers_refuse: 0,
             copies: 0,
+            late_writes: 0,
+            held_commands: 0,
+            cancel_at_end: 0,
+            odd_requests: 0,
+            south_alone: 0,
             watches: Vec::new(),
             workers: BTreeMap::new(),
             hired: BTreeMap::new(),
@@ -241,8 +269,11 @@
             done_tasks: BTreeSet::new(),
             broken: Vec::new(),
             starts: 0,
+            starts_after_cancel: 0,
+            longest_cancelled: 0,
             sent: Sent::default(),
             capacity: 4,
+            run_times: 1,
             team_cpus: TEAM_CPUS,
             calm_at: troubles
                 .iter()
@@ -375,7 +406,8 @@
         let nodes = self.nodes.len();
         if self.now % 1_000 < 100 {
             for node in 0..nodes {
-                if self.now < self.nodes[node].frozen_until {
+                let alone = node == SOUTH_NODE && self.now < self.south_alone;
+                if alone || self.now < self.nodes[node].frozen_until {
                     self.nodes[node].healthy = false;
                     continue;
                 }
@@ -386,6 +418,8 @@
             }
         }
         self.check_known();
+        self.check_waiting();
+        self.send_odd_requests();
         if self.now >= self.store_out && self.store_out > 0 {
             self.store_out = 0;
             self.store.refresh_leases(self.now);
@@ -407,6 +441,9 @@
                 self.machine_gone(&name);
                 continue;
             }
+            if now < worker.hung_until {
+                continue;
+            }
             let mut effects = Vec::new();
             worker.advance(now, LEASE_MS, &mut effects);
             if worker.report_out.is_some_and(|(_, sent)| now >= sent + 4_000) {
@@ -420,11 +457,19 @@
                 let id = self.next_report;
                 worker.report_out = Some((id, now));
                 worker.next_report = now + 3_000;
-                sent = Some((worker.node, id, Box::new(worker.report()), worker.cut_until));
+                if now < worker.mute_until {
+                    // Refused at once: it tries the next controller.
+                    worker.report_out = None;
+                    worker.node = (worker.node + 1) % nodes;
+                    worker.next_report = now + 1_000;
+                } else {
+                    let south = worker.zone == "south";
+                    sent = Some((worker.node, id, Box::new(worker.report()), worker.cut_until, south));
+                }
             }
             self.take_effects(&name, effects);
-            if let Some((node, id, report, cut)) = sent {
-                let cut = cut.max(self.nodes[node].worker_cut);
+            if let Some((node, id, report, cut, south)) = sent {
+                let cut = cut.max(self.nodes[node].worker_cut).max(self.apart(node, south));
                 // Reports may be held back and arrive late.
                 let delay = if now < cut { cut - now + 500 } else { self.delay() };
                 if now < self.copies && self.rng.random_bool(0.3) {
@@ -449,20 +494,7 @@
                 );
             }
         }
-        let late: Vec<String> = self
-            .jobs
-            .iter()
-            .filter(|job| job.told == Told::Cancelled && self.now > job.told_at + CANCEL_MS)
-            .map(|job| format!("{}/", job.spec.id))
-            .collect();
-        for prefix in late {
-            for (task, machines) in &self.on {
-                if task.starts_with(&prefix) && !machines.is_empty() {
-                    self.broken
-                        .push(format!("ran_cancelled: {task} on {machines:?} at {}", self.now));
-                }
-            }
-        }
+        self.check_cancelled();
     }
 }
 
--- a/tests/rules/world/network.rs
+++ b/tests/rules/world/network.rs
@@ -24,10 +24,21 @@
                 }
                 match self.requests.remove(&(node, request)) {
                     Some(Waiting::User { job, kind }) => {
-                        self.at(self.now + delay, Happening::UserAnswered { job, kind, answer });
+                        let given = self.now;
+                        self.at(
+                            self.now + delay,
+                            Happening::UserAnswered {
+                                job,
+                                kind,
+                                given,
+                                answer,
+                            },
+                        );
                     }
                     Some(Waiting::Health) => self.nodes[node].healthy = answer.status == 200,
-                    Some(Waiting::Report { machine, id }) if self.now >= self.nodes[node].worker_cut => {
+                    Some(Waiting::Report { machine, id })
+                        if self.now >= self.nodes[node].worker_cut.max(self.apart_from(node, &machine)) =>
+                    {
                         self.at(self.now + delay, Happening::ReportAnswered { machine, id, answer });
                     }
                     _ => {}
@@ -38,7 +49,12 @@
                 let Some(to) = self.nodes.iter().position(|other| other.name == to) else {
                     return;
                 };
-                let cut = self.nodes[node].peer_cut.max(self.nodes[to].peer_cut);
+                let alone = if (node == SOUTH_NODE) != (to == SOUTH_NODE) {
+                    self.south_alone
+                } else {
+                    0
+                };
+                let cut = self.nodes[node].peer_cut.max(self.nodes[to].peer_cut).max(alone);
                 if self.now < cut.max(self.peers_refuse) {
                     return;
                 }
@@ -59,10 +75,26 @@
             Output::Store { call, request } => {
                 self.sent.store_requests += 1;
                 self.sent.store_writes += request.writes() as usize;
-                if self.now < self.nodes[node].store_cut {
+                if self.now < self.nodes[node].refused {
+                    self.refuse(node, life, call, request);
+                    return;
+                }
+                let reads = matches!(
+                    request,
+                    StoreRequest::Get(_) | StoreRequest::List { .. } | StoreRequest::Watch { .. }
+                );
+                if reads && self.now < self.nodes[node].reads_lost {
+                    let reply = StoreReply::Lost;
+                    let input = Input::Store { call, reply };
+                    self.at(self.now + 2_000, Happening::Input { node, life, input });
+                    return;
+                }
+                let alone = if node == SOUTH_NODE { self.south_alone } else { 0 };
+                let cut = self.nodes[node].store_cut.max(alone);
+                if self.now < cut {
                     // Held back: applied late, when nobody waits any more.
                     if matches!(request, StoreRequest::Transact(_)) && self.rng.random_bool(0.5) {
-                        let late = self.nodes[node].store_cut + self.rng.random_range(0..3_000);
+                        let late = cut + self.rng.random_range(0..3_000);
                         self.at(
                             late,
                             Happening::Store {
@@ -83,7 +115,10 @@
                 }
                 let slow = if self.now < self.store_slow { 15 } else { 1 };
                 let delay = self.delay() * slow;
-                let lost = self.rng.random_bool(0.003);
+                let held = self.now < self.late_writes
+                    && matches!(request, StoreRequest::Transact(_))
+                    && self.rng.random_bool(0.33);
+                let lost = held || self.rng.random_bool(0.003);
                 if lost {
                     let input = Input::Store {
                         call,
@@ -91,7 +126,11 @@
                     };
                     self.at(self.now + 2_000, Happening::Input { node, life, input });
                 }
-                let late = if lost { self.rng.random_range(0..8_000) } else { delay };
+                let late = match (held, lost) {
+                    (true, _) => self.rng.random_range(2_000..12_000),
+                    (_, true) => self.rng.random_range(0..8_000),
+                    _ => delay,
+                };
                 self.at(
                     self.now + late,
                     Happening::Store {
@@ -135,9 +174,16 @@
                 let cut = self
                     .workers
                     .get(&address)
-                    .map_or(0, |worker| worker.cut_until.max(worker.deaf_until))
-                    .max(self.nodes[node].worker_cut);
+                    .map_or(0, |worker| {
+                        worker.cut_until.max(worker.deaf_until).max(worker.hung_until)
+                    })
+                    .max(self.nodes[node].worker_cut)
+                    .max(self.apart_from(node, &address));
                 let held = self.now < cut;
+                if !held && self.now < self.held_commands && self.rng.random_bool(0.5) {
+                    self.hold_command(node, life, call, address, commands);
+                    return;
+                }
                 if held || self.rng.random_bool(0.02) {
                     let input = Input::Worker {
                         call,
@@ -256,8 +302,17 @@
                 self.world();
                 self.at(self.now + 100, Happening::World);
             }
-            Happening::User(job) => self.user(job),
-            Happening::UserAnswered { job, kind, answer } => self.user_answered(job, kind, &answer),
+            Happening::User(job) => {
+                self.at(self.now + 2_500, Happening::User(job));
+                self.user(job);
+            }
+            Happening::UserNow(job) => self.user(job),
+            Happening::UserAnswered {
+                job,
+                kind,
+                given,
+                answer,
+            } => self.user_answered(job, kind, given, &answer),
             Happening::Trouble(trouble) => self.trouble(trouble),
             Happening::Restart(node) => self.restart(node),
         }
@@ -303,7 +358,14 @@
         for (until, node, life, call, request) in std::mem::take(&mut self.watches) {
             let answer = self.store.execute(self.now, &request);
             let empty = matches!(&answer, StoreReply::Log(log) if log.events.is_empty());
-            if (empty && self.now < until) || self.now < self.nodes[node].store_cut {
+            let node_shut = &self.nodes[node];
+            let shut = node_shut.store_cut.max(node_shut.refused).max(node_shut.reads_lost);
+            let shut = if node == SOUTH_NODE {
+                shut.max(self.south_alone)
+            } else {
+                shut
+            };
+            if (empty && self.now < until) || self.now < shut {
                 self.watches.push((until, node, life, call, request));
             } else {
                 let delay = self.delay();
@@ -312,4 +374,60 @@
             }
         }
     }
+
+    /// 503 to this controller alone; its watches wait as in an outage.
+    fn refuse(&mut self, node: usize, life: u64, call: u64, request: StoreRequest) {
+        let delay = self.delay();
+        match &request {
+            StoreRequest::Watch { wait_ms, .. } if *wait_ms > 0 => {
+                let until = self.now + wait_ms;
+                self.watches.push((until, node, life, call, request));
+            }
+            _ => {
+                let reply = StoreReply::Unavailable;
+                let input = Input::Store { call, reply };
+                self.at(self.now + delay, Happening::Input { node, life, input });
+            }
+        }
+    }
+
+    /// The command is carried out at once or late, and nobody hears of it in time.
+    fn hold_command(&mut self, node: usize, life: u64, call: u64, machine: String, commands: DirectCommands) {
+        let reply = WorkerReply::Lost;
+        let input = Input::Worker { call, reply };
+        self.at(self.now + 2_500, Happening::Input { node, life, input });
+        let late = if self.rng.random_bool(0.5) {
+            5
+        } else {
+            self.rng.random_range(1_000..9_000)
+        };
+        let reply = false;
+        self.at(
+            self.now + late,
+            Happening::Direct {
+                node,
+                life,
+                call,
+                machine,
+                commands,
+                reply,
+            },
+        );
+    }
+
+    /// Until when a controller and machines of the south, or of the north, can't
+    /// reach each other.
+    pub(super) fn apart(&self, node: usize, south: bool) -> u64 {
+        if (node == SOUTH_NODE) == south {
+            0
+        } else {
+            self.south_alone
+        }
+    }
+
+    fn apart_from(&self, node: usize, machine: &str) -> u64 {
+        self.workers
+            .get(machine)
+            .map_or(0, |worker| self.apart(node, worker.zone == "south"))
+    }
 }
--- a/tests/rules/world/users.rs
+++ b/tests/rules/world/users.rs
@@ -22,8 +22,13 @@
     pub(super) node: Option<usize>,
     pub first_start: Option<u64>,
     pub(super) cancel_asked: bool,
+    /// Since when a task of it waits beside room for it.
+    pub(super) waits_since: Option<u64>,
 }
 
+/// A request that must not be taken.
+const ODD: u8 = 4;
+
 impl World {
     pub(super) fn draw_job(&mut self, index: usize) -> UserJob {
         let rng = &mut self.rng;
@@ -55,6 +60,7 @@
             node: None,
             first_start: None,
             cancel_asked: false,
+            waits_since: None,
         }
     }
 
@@ -142,8 +148,8 @@
         };
         // Some users open a new one each time.
         self.jobs[index].node = index.is_multiple_of(2).then_some(node);
-        self.at(self.now + 2_500, Happening::User(index));
-        if self.nodes[node].controller.is_none() || self.now < self.nodes[node].frozen_until {
+        let alone = node == SOUTH_NODE && self.now < self.south_alone;
+        if alone || self.nodes[node].controller.is_none() || self.now < self.nodes[node].frozen_until {
             return;
         }
         self.next_request += 1;
@@ -153,7 +159,7 @@
         self.step(node, Input::User { request, ask });
     }
 
-    pub(super) fn user_answered(&mut self, index: usize, kind: u8, answer: &Answer) {
+    pub(super) fn user_answered(&mut self, index: usize, kind: u8, given: u64, answer: &Answer) {
         let now = self.now;
         let id = self.jobs[index].spec.id.clone();
         if kind == 3 {
@@ -162,6 +168,14 @@
             }
             return;
         }
+        if kind == ODD {
+            // It can't run or lacks a field.
+            if !matches!(answer.status, 400 | 422 | 429 | 503) {
+                self.broken
+                    .push(format!("accepted: {}, {}", answer.status, answer.body));
+            }
+            return;
+        }
         let job = &mut self.jobs[index];
         if matches!(answer.status, 400 | 422) || (answer.status == 404 && job.told != Told::Nothing) {
             self.broken.push(format!(
@@ -180,6 +194,11 @@
             Standing::Done => Told::Done,
             Standing::Cancelled => Told::Cancelled,
         };
+        // On its way already when the user was told otherwise: not an answer
+        // given after that.
+        if given < job.told_at && told != job.told {
+            return;
+        }
         let ended = matches!(job.told, Told::Done | Told::Cancelled);
         if (ended && told != job.told) || (told == Told::Cancelled && !job.cancel_asked) {
             self.broken
@@ -199,4 +218,69 @@
             job.told_at = now;
         }
     }
+
+    /// Called off at the moment at which its last task ends.
+    pub(super) fn ended_now(&mut self, task: &str) {
+        let Some(index) = self.job_of(task).filter(|_| self.now < self.cancel_at_end) else {
+            return;
+        };
+        let (now, job) = (self.now, &mut self.jobs[index]);
+        let left = (0..job.spec.tasks)
+            .filter(|number| !self.done_tasks.contains(&format!("{}/{number}", job.spec.id)))
+            .count();
+        if left <= 1 && job.cancel_at.is_none() && self.rng.random_bool(0.5) {
+            job.cancel_at = Some(now);
+            let at = now + self.rng.random_range(0..600);
+            self.at(at, Happening::UserNow(index));
+        }
+    }
+
+    /// Repeats of known jobs, cancels of done ones, and jobs that no controller
+    /// may take: too large for any machine, of no team, or without a field.
+    pub(super) fn send_odd_requests(&mut self) {
+        if self.now >= self.odd_requests || self.jobs.is_empty() {
+            return;
+        }
+        let index = self.rng.random_range(0..self.jobs.len());
+        let job = &self.jobs[index];
+        let (kind, ask) = match self.rng.random_range(0..4) {
+            0 if job.told != Told::Nothing => (0, Ask::Submit(serde_json::to_string(&job.spec).expect("json"))),
+            1 if job.told == Told::Done => (0, Ask::Cancel(job.spec.id.clone())),
+            2 => (ODD, Ask::Submit(self.odd_job().to_string())),
+            _ => return,
+        };
+        let node = self.rng.random_range(0..self.nodes.len());
+        if self.nodes[node].controller.is_none() || self.now < self.nodes[node].frozen_until {
+            return;
+        }
+        self.next_request += 1;
+        let request = self.next_request;
+        self.requests
+            .insert((node, request), Waiting::User { job: index, kind });
+        self.step(node, Input::User { request, ask });
+    }
+
+    fn odd_job(&mut self) -> serde_json::Value {
+        let spec = JobSpec {
+            id: format!("j-8{:05}", self.rng.random_range(0..100_000)),
+            ..World::plain_spec()
+        };
+        let mut job = serde_json::to_value(spec).expect("json");
+        let fields = job.as_object_mut().expect("an object");
+        match self.rng.random_range(0..5) {
+            0 => fields.insert("cores".into(), 64.0.into()),
+            1 => fields.insert("memGb".into(), 4096.0.into()),
+            2 => fields.insert("yard".into(), "nowhere".into()),
+            3 => fields.insert("consignor".into(), "nobody".into()),
+            _ => {
+                let needed: Vec<String> = fields
+                    .iter()
+                    .filter(|(name, value)| !value.is_null() && *name != "id")
+                    .map(|(name, _)| name.clone())
+                    .collect();
+                fields.remove(&needed[self.rng.random_range(0..needed.len())])
+            }
+        };
+        job
+    }
 }
--- a/tests/rules/world/worker.rs
+++ b/tests/rules/world/worker.rs
@@ -22,7 +22,9 @@
     pub gone: bool,
     pub cut_until: u64,
     pub deaf_until: u64,
-    pub sick: bool,
+    pub mute_until: u64,
+    pub hung_until: u64,
+    pub sick_until: u64,
     pub session: u64,
     pub seq: u64,
     pub token: u64,
@@ -45,6 +47,16 @@
         !self.gone && now >= self.up_at
     }
 
+    /// In reach, at work, and not about to go.
+    pub fn well(&self, now: u64) -> bool {
+        let until = self
+            .cut_until
+            .max(self.deaf_until)
+            .max(self.mute_until)
+            .max(self.hung_until);
+        self.up(now) && now >= until && now >= self.sick_until && self.taken_at.is_none()
+    }
+
     pub fn report(&mut self) -> Report {
         self.seq += 1;
         Report {
@@ -80,7 +92,7 @@
                 running.state = TaskState::Running;
                 running.until = now + running.run_ms;
                 effects.push(Effect::Started { task: task.clone() });
-                if self.sick {
+                if now < self.sick_until {
                     running.state = TaskState::Exited;
                     running.why = Some(Why::Error);
                     effects.push(Effect::Left {
