Keep the room of a start withdrawn until its record is gone from the store

The attempt now counts until a transaction that no longer names it is committed. Two unit tests expected the close at once: that was the fault; they now ask that the record no longer names the attempt, and that nothing is freed before, nor after a write that did not happen.

Ruled out: late transactions as such (claim and versions void them).

--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -429,7 +429,7 @@
         };
         match reply {
             StoreReply::Committed { revision } => {
-                let committed = share.committed(&self.keys, revision);
+                let committed = share.committed(self.now, &self.keys, revision);
                 share.to_push.extend(committed.push);
                 for (value, version) in committed.hires {
                     share.fleet.hires.push(crate::fleet::Hire {
--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -263,6 +263,7 @@
                 start_sent: None,
                 start_answered: false,
                 stop: ended.then_some(0.0),
+                withdrawn: false,
             });
             job.open.insert(task, ix);
             self.teams_use[job.team as usize].used.add(room);
--- a/src/pipeline/ledger.rs
+++ b/src/pipeline/ledger.rs
@@ -11,6 +11,7 @@
 use crate::ids::Ix;
 use crate::store::Keys;
 use crate::wire::{Change, Condition, Standing, Transaction};
+use crate::workers::Outcome;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -288,7 +289,9 @@
                 let Some(machine) = self.machines.get(attempt.machine) else {
                     continue;
                 };
-                open.push((task, attempt.number, machine.name.clone(), attempt.session));
+                if !attempt.withdrawn {
+                    open.push((task, attempt.number, machine.name.clone(), attempt.session));
+                }
             }
             let done = job.done.text(range.clone());
             let bytes = 120 + done.len() + open.len() * 60;
@@ -299,7 +302,7 @@
             self.ledger.drafted(ix, number);
             for attempt in job.open.range(range).map(|(_, &attempt)| attempt) {
                 if let Some(attempt) = self.attempts.get_mut(attempt)
-                    && !attempt.written
+                    && (!attempt.written || attempt.withdrawn)
                 {
                     attempt.writing = true;
                 }
@@ -360,7 +363,7 @@
     }
 
     /// The transaction in flight was applied at `revision`.
-    pub fn committed(&mut self, keys: &Keys, revision: u64) -> Committed {
+    pub fn committed(&mut self, now: Millis, keys: &Keys, revision: u64) -> Committed {
         let mut result = Committed::default();
         let Some(flight) = self.ledger.in_flight.take() else {
             return result;
@@ -373,15 +376,23 @@
             chunk.version = revision;
             chunk.writing = false;
             let first = number * self.chunk_tasks;
-            for attempt in job.open.range(first..first + self.chunk_tasks).map(|(_, &a)| a) {
-                if let Some(attempt) = self.attempts.get_mut(attempt)
+            let mut gone = Vec::new();
+            for ix in job.open.range(first..first + self.chunk_tasks).map(|(_, &a)| a) {
+                if let Some(attempt) = self.attempts.get_mut(ix)
                     && attempt.writing
                 {
                     attempt.writing = false;
-                    attempt.written = true;
-                    result.push.insert(attempt.machine);
+                    if attempt.withdrawn {
+                        gone.push(ix);
+                    } else {
+                        attempt.written = true;
+                        result.push.insert(attempt.machine);
+                    }
                 }
             }
+            for ix in gone {
+                self.close(now, ix, Outcome::Lost);
+            }
         }
         for ix in flight.finished {
             if let Some(job) = self.jobs.get_mut(ix) {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -293,6 +293,7 @@
             start_sent: None,
             start_answered: false,
             stop: None,
+            withdrawn: false,
         };
         chunk.next += 1;
         chunk.dirty = true;
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -208,7 +208,7 @@
         let in_flight = machine.push.in_flight && machine.push.starts;
         let doubtful = in_flight || (machine.doubt > 0 && machine.doubt >= report.token);
         if answer_dead && !doubtful {
-            self.close(now, ix, Outcome::Lost);
+            self.withdraw_record(now, ix);
         } else if answer_dead && machine.doubt >= self.term {
             // Starts of earlier terms are withdrawn already, once the worker
             // sees ours; only one of our own term calls for a higher.
@@ -216,6 +216,21 @@
         }
     }
 
+    /// This attempt never starts. Its record must go before its room is given to
+    /// another; an ended job's records start nothing.
+    fn withdraw_record(&mut self, now: Millis, ix: Ix) {
+        let Some(attempt) = self.attempts.get_mut(ix) else {
+            return;
+        };
+        if self.jobs.get(attempt.job).is_none_or(|job| job.ended.is_some()) {
+            self.close(now, ix, Outcome::Lost);
+        } else if !std::mem::replace(&mut attempt.withdrawn, true) {
+            self.ledger
+                .starts
+                .insert((attempt.job, attempt.task / self.chunk_tasks));
+        }
+    }
+
     /// Everything that a machine should be told now, in order.
     pub fn commands(&mut self, now: Millis, ix: Ix) -> Vec<Command> {
         let Some(machine) = self.machines.get(ix) else {
--- a/src/workers/merge/tests.rs
+++ b/src/workers/merge/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::controller::share_with;
-use crate::wire::TaskReport;
+use crate::store::Keys;
+use crate::wire::{Change, Condition, TaskReport};
 
 const MINUTE: Millis = 60_000;
 
@@ -64,7 +65,37 @@
     // A higher token seen by the worker withdraws whatever is on its way.
     share.term = 6;
     share.merge_report(MINUTE, &report(1, 3, 6, Vec::new()), Path::Sent);
-    assert_eq!(open(&share), 0);
+    closes_once_its_record_is_gone(&mut share);
+}
+
+/// The only attempt never starts. Guards against giving its room to others while
+/// its record is still there: the owner ended just then, the next one started
+/// both, and a team went beyond its limit (controllers that hand over and back,
+/// seed 46).
+fn closes_once_its_record_is_gone(share: &mut Share) {
+    let keys = Keys::new("pool");
+    let claim = Condition {
+        key: keys.owner(),
+        version: 1,
+    };
+    assert_eq!(open(share), 1);
+    let used = share.teams_use[0].used.cpus;
+    assert!(used > 0.0 && share.starts_wait());
+    let written = share
+        .next_transaction(MINUTE, &keys, claim.clone(), 48, 48)
+        .expect("due");
+    let record = written.changes.iter().find_map(|change| match change {
+        Change::Put { put, value, .. } if *put == keys.firing("j-1", 0) => Some(value["open"].clone()),
+        _ => None,
+    });
+    assert_eq!(record, Some(serde_json::json!([])));
+    // Not applied: considered again, and the room stays taken.
+    share.not_applied();
+    assert_eq!((open(share), share.teams_use[0].used.cpus), (1, used));
+    share.next_transaction(MINUTE, &keys, claim, 48, 48).expect("due again");
+    assert_eq!((open(share), share.teams_use[0].used.cpus), (1, used));
+    share.committed(MINUTE, &keys, 9);
+    assert_eq!((open(share), share.teams_use[0].used.cpus), (0, 0.0));
 }
 
 /// Guards against raising the term again and again after a take-over, each
@@ -79,7 +110,8 @@
     assert_eq!(open(&share), 1);
     assert!(!share.withdraw);
     share.merge_report(MINUTE, &report(1, 3, 5, Vec::new()), Path::Sent);
-    assert_eq!(open(&share), 0);
+    assert!(!share.withdraw);
+    closes_once_its_record_is_gone(&mut share);
 }
 
 #[test]
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -48,6 +48,9 @@
     pub start_answered: bool,
     /// Asked to stop, with this much time to save.
     pub stop: Option<f64>,
+    /// Proven never to start. It keeps its room until its record is gone from the
+    /// state service: a new owner would read it there and start it.
+    pub withdrawn: bool,
 }
 
 /// Reports without effect of the answers before them, after which a machine
