--- a/tests/rules/reports.rs
+++ b/tests/rules/reports.rs
@@ -1,1 +1,147 @@
-//! The checks themselves: each reports a fault put in on purpose.
+//! The checks themselves: each reports a fault that is put in on purpose.
+
+use crate::world::{CANCEL_MS, Told, World};
+
+/// A world without controllers in which one job is known to its user.
+fn accepted(tasks: u32) -> World {
+    let mut world = World::new(1, 0, 0, Vec::new());
+    let mut spec = World::plain_spec();
+    spec.tasks = tasks;
+    let job = world.submit(0, spec);
+    world.tell(job, Told::Accepted);
+    world.add_machine("host-0", "north");
+    world.add_machine("host-1", "south");
+    world
+}
+
+fn broken(world: &World, rule: &str) -> bool {
+    world.broken.iter().any(|fault| fault.starts_with(rule))
+}
+
+#[test]
+fn a_task_on_two_machines_is_reported() {
+    let mut world = accepted(1);
+    world.begins("host-0", "j-000000/0");
+    assert!(world.broken.is_empty());
+    world.begins("host-1", "j-000000/0");
+    assert!(broken(&world, "ran_twice"));
+}
+
+#[test]
+fn a_team_beyond_its_limit_is_reported() {
+    let mut world = accepted(25);
+    for task in 0..24 {
+        world.begins("host-0", &format!("j-000000/{task}"));
+    }
+    assert!(world.broken.is_empty());
+    world.begins("host-0", "j-000000/24");
+    assert!(broken(&world, "quota"));
+}
+
+#[test]
+fn a_task_in_a_zone_that_its_job_does_not_allow_is_reported() {
+    let mut world = accepted(2);
+    world.jobs[0].spec.one_zone = true;
+    world.begins("host-0", "j-000000/0");
+    assert!(world.broken.is_empty());
+    world.begins("host-1", "j-000000/1");
+    assert!(broken(&world, "wrong_place"));
+}
+
+/// Also while its machine hangs: it would go on.
+#[test]
+fn a_cancelled_task_that_stays_is_reported() {
+    for hangs in [false, true] {
+        let mut world = accepted(1);
+        world.begins("host-0", "j-000000/0");
+        if hangs {
+            world.hang("host-0", 10 * CANCEL_MS);
+        }
+        world.tell(0, Told::Cancelled);
+        world.now += CANCEL_MS;
+        world.check_cancelled();
+        assert!(world.broken.is_empty());
+        world.now += 1;
+        world.check_cancelled();
+        assert!(broken(&world, "ran_cancelled"));
+        assert_eq!(world.longest_cancelled, CANCEL_MS + 1);
+    }
+}
+
+#[test]
+fn a_start_after_a_confirmed_cancellation_is_counted_and_a_late_one_reported() {
+    let mut world = accepted(2);
+    world.tell(0, Told::Cancelled);
+    world.begins("host-0", "j-000000/0");
+    assert_eq!(world.starts_after_cancel, 1);
+    assert!(world.broken.is_empty());
+    world.now += CANCEL_MS + 1;
+    world.begins("host-0", "j-000000/1");
+    assert!(broken(&world, "ran_cancelled"));
+}
+
+#[test]
+fn a_job_of_which_nothing_is_said_is_reported() {
+    let mut world = accepted(1);
+    world.now += 75_000;
+    world.check_known();
+    assert!(world.broken.is_empty());
+    world.now += 1;
+    world.check_known();
+    assert!(broken(&world, "forgotten"));
+}
+
+#[test]
+fn a_job_that_waits_beside_room_is_reported() {
+    let mut world = accepted(2);
+    world.now += 1_000;
+    world.check_waiting();
+    world.now += 90_000;
+    world.check_waiting();
+    assert!(world.broken.is_empty());
+    world.now += 1;
+    world.check_waiting();
+    assert!(broken(&world, "waiting"));
+    // Not where the team is at its limit, or nothing fits.
+    for (cpus, zone) in [(25.0, None), (1.0, Some("east".to_string()))] {
+        let mut world = accepted(2);
+        world.jobs[0].spec.cpus = cpus;
+        world.jobs[0].spec.zone = zone;
+        for _ in 0..3 {
+            world.now += 91_000;
+            world.check_waiting();
+        }
+        assert!(world.broken.is_empty(), "{:?}", world.broken);
+    }
+}
+
+#[test]
+fn a_largest_job_that_begins_late_is_reported() {
+    let mut world = accepted(9);
+    world.check_largest();
+    assert!(broken(&world, "late"));
+    let mut world = accepted(9);
+    world.begins("host-0", "j-000000/0");
+    world.check_largest();
+    assert!(world.broken.is_empty());
+}
+
+/// What controllers answer: a job that can't run taken, a job nobody submitted
+/// known, an end taken back, an end called too early, an accepted job denied.
+#[test]
+fn wrong_answers_are_reported() {
+    let state = |state: &str| format!("{{\"id\":\"j-000000\",\"standing\":\"{state}\"}}");
+    for (kind, status, body, rule) in [
+        (World::ODD, 201, state("queued"), "accepted"),
+        (World::UNKNOWN, 200, state("running"), "invented"),
+        (World::POLL, 200, state("aborted"), "went_back"),
+        (World::POLL, 200, state("done"), "not_done"),
+        (World::POLL, 404, String::new(), "forgotten"),
+        (World::SUBMIT, 422, String::new(), "forgotten"),
+    ] {
+        let mut world = accepted(1);
+        world.now += 10;
+        world.is_answered(0, kind, status, &body);
+        assert!(broken(&world, rule), "{rule}: {:?}", world.broken);
+    }
+}
--- a/tests/rules/world/machines.rs
+++ b/tests/rules/world/machines.rs
@@ -87,4 +87,15 @@
             }
         }
     }
+
+    /// For tests of the checks: a machine that no controller rented.
+    pub fn add_machine(&mut self, name: &str, zone: &str) {
+        let worker = self.new_worker(name, "small", zone, false, 0);
+        self.workers.insert(name.into(), worker);
+    }
+
+    /// For tests of the checks: a task begins there.
+    pub fn begins(&mut self, machine: &str, task: &str) {
+        self.started(machine, task);
+    }
 }
