--- a/tests/rules/reports.rs
+++ b/tests/rules/reports.rs
@@ -91,6 +91,28 @@
     assert!(broken(&world, "forgotten"));
 }
 
+/// Before troubles are over: while most others are answered, and only then.
+#[test]
+fn a_job_that_alone_is_not_answered_is_reported() {
+    for alone in [true, false] {
+        let mut world = accepted(1);
+        world.calm_at = u64::MAX / 2;
+        for _ in 0..2 {
+            let other = world.submit(0, World::plain_spec());
+            world.tell(other, Told::Accepted);
+        }
+        for _ in 0..92 {
+            world.now += 1_000;
+            if alone {
+                world.tell(1, Told::Accepted);
+                world.tell(2, Told::Accepted);
+            }
+            world.check_known();
+        }
+        assert_eq!(broken(&world, "forgotten"), alone, "{:?}", world.broken);
+    }
+}
+
 #[test]
 fn a_job_that_waits_beside_room_is_reported() {
     let mut world = accepted(2);
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -190,6 +190,8 @@
     requests: BTreeMap<(usize, u64), Waiting>,
     next_request: u64,
     next_report: u64,
+    /// Since when users of most jobs are answered.
+    most_heard_since: Option<u64>,
     /// Where each task is on a machine now.
     on: BTreeMap<String, BTreeSet<String>>,
     pub done_tasks: BTreeSet<String>,
@@ -265,6 +267,7 @@
             requests: BTreeMap::new(),
             next_request: 0,
             next_report: 0,
+            most_heard_since: None,
             on: BTreeMap::new(),
             done_tasks: BTreeSet::new(),
             broken: Vec::new(),
