Ask a machine directly whose lease ran out, so that it does not rest for ever

The question now stays until it is answered. Test: a_machine_whose_lease_ran_out_is_asked_directly_and_used_again.

--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -161,7 +161,11 @@
                 machine.expecting |= attempt.start_answered;
             }
         }
-        self.to_push.remove(&ix);
+        // One that seems not to be reached is asked directly as well: where nothing
+        // is expected of it, no report could ever clear it.
+        if machine.misses == 0 {
+            self.to_push.remove(&ix);
+        }
         commands
     }
 
--- a/src/workers/merge/tests.rs
+++ b/src/workers/merge/tests.rs
@@ -315,6 +315,22 @@
     assert_eq!(open(&share), 1);
 }
 
+/// Guards against an idle machine that rests for ever: its lease had run out soon
+/// after an answer, nothing was expected of it any more, and the question that
+/// would have cleared it was dropped with every answer (drawn meetings, seed 216).
+#[test]
+fn a_machine_whose_lease_ran_out_is_asked_directly_and_used_again() {
+    let (mut share, machine) = share();
+    share.merge_report(10, &report(2, 1, 5, Vec::new()), Path::Sent);
+    assert!(!share.machines.get(machine).expect("there").usable(10));
+    share.answer_commands(10, machine);
+    assert!(share.to_push.contains(&machine));
+    share.merge_report(20, &report(2, 2, 5, Vec::new()), Path::Answered);
+    assert!(share.machines.get(machine).expect("there").usable(20));
+    share.answer_commands(30, machine);
+    assert!(!share.to_push.contains(&machine));
+}
+
 /// Guards against reports that grow for as long as a term lasts: while a start
 /// of it may still arrive, no ended task can be forgotten.
 #[test]
