Act on in an outage that all share, while every other controller promises not to claim

Now an owner also acts while every other controller has promised within the last 2 s not to claim, which only one does that can't reach the state service, is not claiming itself and knows the watched keys; with its promise it tells of the cancellations the owner lacks, so that the gap stays closed. On promises alone it neither raises its term nor stops tasks for others.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -168,6 +168,8 @@
     reading: bool,
     read_not_before: Millis,
     store_ok_at: Option<Millis>,
+    /// When it last refused a request or gave no answer.
+    store_failed_at: Option<Millis>,
     store_asked_at: Millis,
 
     cloud: cloud::Calls,
@@ -230,6 +232,7 @@
             reading: false,
             read_not_before: 0,
             store_ok_at: None,
+            store_failed_at: None,
             store_asked_at: 0,
             cloud: cloud::Calls::new(settings.params.cloud.rps * 0.7),
             pushes: BTreeMap::new(),
@@ -305,6 +308,7 @@
                 });
             }
         }
+        self.ask_to_hold();
         let wants =
             self.with_intake(|intake, around, peers| intake.tick(around, &|node| peers.in_reach(around.now, node)));
         self.carry_out(wants);
@@ -376,6 +380,24 @@
         }
     }
 
+    /// Where the state service can't be reached, the others may promise not to
+    /// claim meanwhile.
+    fn ask_to_hold(&mut self) {
+        if !self.ownership.asks_to_hold(self.now) {
+            return;
+        }
+        let message = Message::Hold {
+            share: SHARE.into(),
+            term: self.ownership.term,
+            asked: self.now,
+            revision: self.mirror.revision,
+        };
+        for node in self.peers.names() {
+            let message = message.clone();
+            self.outputs.push(Output::Peer { node, message });
+        }
+    }
+
     fn send_claim(&mut self, transaction: Transaction) {
         self.enqueue(
             Purpose::Claim {
@@ -473,7 +495,7 @@
             return;
         };
         match reply {
-            StoreReply::Unavailable | StoreReply::Lost => {}
+            StoreReply::Unavailable | StoreReply::Lost => self.store_failed_at = Some(self.now),
             StoreReply::Throttled => {
                 if !matches!(purpose, Purpose::Renew { .. }) {
                     self.queue.push_back(Queued {
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -373,7 +373,11 @@
             self.placed_at = self.now;
             self.place_wanted = false;
             share.place(self.now);
-            share.preempt(self.now);
+            // On promises alone nothing can be written, and so nothing started in
+            // place of what would be stopped.
+            if self.ownership.lease_valid(self.now) {
+                share.preempt(self.now);
+            }
         }
     }
 
@@ -390,7 +394,8 @@
             return false;
         };
         let wanted = self.reclaim_wanted || share.withdraw;
-        if !wanted || self.now < self.reclaimed_at + RECLAIM_EVERY_MS {
+        // Claiming gives up what the others promised, and can't succeed in an outage.
+        if !wanted || !self.ownership.lease_valid(self.now) || self.now < self.reclaimed_at + RECLAIM_EVERY_MS {
             return false;
         }
         // What is in flight depends on the claim as it is.
--- a/src/controller/standby.rs
+++ b/src/controller/standby.rs
@@ -5,7 +5,8 @@
 use crate::Millis;
 use crate::intake::{Asker, busy};
 use crate::peers::{Answer, Message, ReportReply, WorkerReply};
-use crate::wire::{DirectCommands, Redirect, Report};
+use crate::store::JobKey;
+use crate::wire::{DirectCommands, Redirect, Report, Standing};
 use crate::workers::{Merged, Path};
 
 const RELAY_PATIENCE_MS: Millis = 3_000;
@@ -16,6 +17,8 @@
 /// Reports waiting for the owner's answer, and commands held for it.
 const MAX_RELAYS: usize = 2_000;
 const MAX_HELD: usize = 512;
+/// Cancellations told with a promise; one that would take more is not given.
+const MAX_CANCELLED: usize = 200;
 /// Reports or replies in one message, so that frames stay small.
 const BATCH: usize = 64;
 
@@ -213,6 +216,14 @@
                     }
                 }
             }
+            Message::Hold {
+                term, asked, revision, ..
+            } => self.asked_to_hold(node, term, asked, revision),
+            Message::Held { term, asked, cancelled } => {
+                if term == self.ownership.term {
+                    self.held(&node, asked, cancelled);
+                }
+            }
             Message::Push { commands, .. } => self.hold(node, commands),
             Message::Pushed { replies } => {
                 for (id, reply) in replies {
@@ -228,6 +239,41 @@
         }
     }
 
+    /// The owner can't reach the state service. If nor can we, and we know what
+    /// was cancelled, we promise not to claim, and tell it of what it may not know.
+    fn asked_to_hold(&mut self, node: String, term: u64, asked: u64, revision: u64) {
+        let out = self.store_failed_at > self.store_ok_at;
+        if !out || !self.mirror.complete {
+            return;
+        }
+        let newer = self.mirror.jobs.values();
+        let newer = newer.filter(|(key, version)| *version > revision && key.ended == Some(Standing::Cancelled));
+        let cancelled: Vec<_> = newer.take(MAX_CANCELLED + 1).cloned().collect();
+        if cancelled.len() <= MAX_CANCELLED && self.ownership.promise(self.now) {
+            let message = Message::Held { term, asked, cancelled };
+            self.outputs.push(Output::Peer { node, message });
+        }
+    }
+
+    /// What was cancelled through others is stopped before their promise counts.
+    fn held(&mut self, node: &str, asked: Millis, cancelled: Vec<(JobKey, u64)>) {
+        if !self.ownership.acting(self.now) {
+            return;
+        }
+        for (key, version) in cancelled {
+            let id = key.spec.id.clone();
+            let known = self.mirror.jobs.get(&id);
+            if version > self.mirror.revision && known.is_none_or(|&(_, known)| known < version) {
+                self.mirror.jobs.insert(id.clone(), (key, version));
+                self.job_changed(&id);
+            }
+        }
+        self.peers.held(node, asked);
+        if let Some(asked) = self.peers.all_held_at() {
+            self.ownership.held(self.now, asked);
+        }
+    }
+
     pub(super) fn standby_tick(&mut self) {
         let now = self.now;
         let late: Vec<u64> = self
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -105,3 +105,88 @@
     assert!(first.0.abs_diff(second.0) > 1 << 32);
     assert!(first.1.abs_diff(second.1) > 1 << 32);
 }
+
+/// Guards against the gap: the state service refuses the owner alone, another
+/// controller confirms a cancellation, and then nobody reaches it. With its
+/// promise not to claim a controller tells the owner of what was cancelled; while
+/// it can still confirm cancellations it promises nothing.
+#[test]
+fn a_promise_tells_of_what_was_cancelled() {
+    let settings = Settings::parse(SAMPLE).expect("valid settings");
+    let node = settings.peers[0].node.clone();
+    let spec: JobSpec = serde_json::from_value(serde_json::json!({"id":"j-7","lotType":"sort","consignor":"floor",
+        "saleFormat":"array","bidRank":"high","lots":1,"cores":1.0,"cards":0.0,"memGb":1.0,"catalog":"img",
+        "pullGb":1.0,"oneZone":false,"scatter":false,"loaner":true,"appraisedS":5.0,"tallyS":0.0,"ledgerS":0.0}))
+    .expect("a job");
+    let key = crate::store::JobKey {
+        spec,
+        accepted_ms: 0,
+        ended: Some(crate::wire::Standing::Cancelled),
+    };
+    let mut controller = Controller::new(settings, Policy::default(), 7);
+    let mut steady = 1_000_000;
+    let mut step = |controller: &mut Controller, input| {
+        steady += 10;
+        controller.step(Now { steady, wall: 0 }, input)
+    };
+    let item = crate::wire::Entry {
+        key: "live/pool/job/j-7".into(),
+        value: serde_json::json!(key),
+        version: 9,
+    };
+    let owner = crate::wire::Entry {
+        key: "live/pool/owner".into(),
+        value: serde_json::json!({"node": node, "life": 1, "term": 3}),
+        version: 4,
+    };
+    let page = StoreReply::Page(crate::wire::Page {
+        items: vec![item, owner],
+        more: false,
+        revision: 9,
+    });
+    let call = |outputs: &[Output]| {
+        let calls = outputs.iter().filter_map(|output| match output {
+            Output::Store { call, .. } => Some(*call),
+            _ => None,
+        });
+        calls.max().expect("asked")
+    };
+    let hold = |revision| {
+        let message = Message::Hold {
+            share: SHARE.into(),
+            term: 3,
+            asked: 5,
+            revision,
+        };
+        Input::Peer {
+            message: Box::new(message),
+            node: node.clone(),
+        }
+    };
+    let held = |outputs: Vec<Output>| {
+        outputs.into_iter().find_map(|output| match output {
+            Output::Peer {
+                message: Message::Held { term, asked, cancelled },
+                ..
+            } => Some((term, asked, cancelled)),
+            _ => None,
+        })
+    };
+    let outputs = step(&mut controller, Input::Tick);
+    let reply = page;
+    let call_of_page = call(&outputs);
+    let outputs = step(
+        &mut controller,
+        Input::Store {
+            call: call_of_page,
+            reply,
+        },
+    );
+    // The state service answers: no promise.
+    assert_eq!(held(step(&mut controller, hold(8))), None);
+    let call = call(&outputs);
+    let reply = StoreReply::Unavailable;
+    step(&mut controller, Input::Store { call, reply });
+    assert_eq!(held(step(&mut controller, hold(8))), Some((3, 5, vec![(key, 9)])));
+    assert_eq!(held(step(&mut controller, hold(9))), Some((3, 5, Vec::new())));
+}
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -6,6 +6,11 @@
 //! *sent*, so it may be found lapsed early, never late. So is the age of the
 //! mirror: an owner that renews but no longer hears what users cancel through
 //! others would keep their workers' leases alive, so it neither acts nor renews.
+//!
+//! In an outage that all share nobody can claim or confirm anything, and workers
+//! would drop all their tasks for nothing. So an owner also acts as long as *every*
+//! other controller has just promised not to claim, and has told it of all
+//! cancellations it knows (`held`). A single one missing ends it.
 
 use crate::Millis;
 use crate::store::{Keys, Mirror, OwnerValue};
@@ -17,6 +22,11 @@
 const RETRY_MS: u64 = 300;
 /// Clock drift over one lease and the time between looking and acting.
 const MARGIN_MS: u64 = 300;
+/// How long a controller that promised it does not claim.
+pub const HOLD_MS: Millis = 2_000;
+/// An owner asks for promises when its last renewal is this old, so often.
+const HOLD_AFTER_MS: Millis = 1_500;
+const HOLD_EVERY_MS: Millis = 300;
 /// A controller that hears no other waits this much longer before it claims,
 /// so that one that can talk to the others goes first.
 const ALONE_DELAY_MS: u64 = 1_500;
@@ -54,6 +64,11 @@
     /// A lapse was noticed, of the lease or of the mirror: acting again needs a
     /// renewal and then a mirror that shows our claim.
     pub suspended: bool,
+    /// Until when every other controller surely does not claim.
+    held_until: Millis,
+    hold_asked_at: Millis,
+    /// When this life began: a former one may have promised not to claim.
+    born_at: Option<Millis>,
     /// When the first renewal after a lapse was answered.
     renewed_again_at: Option<Millis>,
 }
@@ -82,6 +97,9 @@
             hold_off_until: 0,
             vacant_since: None,
             suspended: false,
+            held_until: 0,
+            hold_asked_at: 0,
+            born_at: None,
             renewed_again_at: None,
         }
     }
@@ -92,13 +110,46 @@
     }
 
     fn sure(&self, now: Millis) -> bool {
-        now < self.valid_until.min(self.mirror_until)
+        now < self.valid_until.min(self.mirror_until).max(self.held_until)
     }
 
     pub fn acting(&self, now: Millis) -> bool {
         self.phase == Phase::Active && self.proven(now)
     }
 
+    /// True while the lease itself is surely ours, whatever others promised.
+    pub fn lease_valid(&self, now: Millis) -> bool {
+        now < self.valid_until
+    }
+
+    /// Whether to ask the others now to promise that they don't claim.
+    pub fn asks_to_hold(&mut self, now: Millis) -> bool {
+        let due = self.acting(now)
+            && now + LEASE_MS >= self.valid_until + MARGIN_MS + HOLD_AFTER_MS
+            && now >= self.hold_asked_at + HOLD_EVERY_MS;
+        if due {
+            self.hold_asked_at = now;
+        }
+        due
+    }
+
+    /// Every other controller promised after it was asked at `asked`. Counts only
+    /// without a break: who has lapsed may have missed another's whole term.
+    pub fn held(&mut self, now: Millis, asked: Millis) {
+        if self.acting(now) {
+            self.held_until = self.held_until.max(asked + HOLD_MS);
+        }
+    }
+
+    /// Promises not to claim for a while, unless something is under way already.
+    pub fn promise(&mut self, now: Millis) -> bool {
+        let free = self.phase == Phase::Standby;
+        if free {
+            self.hold_off_until = self.hold_off_until.max(now + HOLD_MS + MARGIN_MS);
+        }
+        free
+    }
+
     pub fn holds_claim(&self) -> bool {
         matches!(self.phase, Phase::Loading | Phase::Active)
     }
@@ -124,12 +175,14 @@
         }
         match self.phase {
             Phase::Standby => {
+                let born_at = *self.born_at.get_or_insert(now);
                 if !mirror.complete {
                     return None;
                 }
                 // A claim by an earlier life of this process is as good as none.
                 let vacant = match &mirror.owner {
-                    None => true,
+                    // Where there never was an owner, nobody was promised anything.
+                    None => mirror.term.0 == 0 || now >= born_at + HOLD_MS + MARGIN_MS,
                     Some((owner, _)) => owner.node == self.node && owner.life != self.life,
                 };
                 if !vacant {
@@ -148,7 +201,7 @@
             Phase::Granting | Phase::Claiming => None,
             Phase::Loading | Phase::Active => {
                 // One that can't read stands in the way of one that can.
-                if now < self.next_renewal || now >= self.mirror_until {
+                if now < self.next_renewal || now >= self.mirror_until.max(self.held_until) {
                     return None;
                 }
                 self.next_renewal = now + RENEW_EVERY_MS;
@@ -248,6 +301,7 @@
         self.lease = None;
         self.asked_at = None;
         self.valid_until = 0;
+        self.held_until = 0;
         self.suspended = false;
         self.vacant_since = None;
         self.hold_off_until = self.hold_off_until.max(now + hold_off);
--- a/src/ownership/tests.rs
+++ b/src/ownership/tests.rs
@@ -77,3 +77,40 @@
             .any(|c| c.key == keys.owner() && c.version == 5)
     );
 }
+
+/// An outage that all share: nobody can claim, and stopping would cost all that
+/// runs. The promise counts from when it was asked for, and only without a break.
+#[test]
+fn an_owner_acts_as_long_as_all_others_promise_not_to_claim() {
+    let (mut ownership, _, mirror) = claimed(0);
+    let lapse = LEASE_MS - MARGIN_MS;
+    assert!(!ownership.asks_to_hold(HOLD_AFTER_MS - MARGIN_MS - 1));
+    assert!(ownership.asks_to_hold(lapse - 500));
+    assert!(!ownership.asks_to_hold(lapse - 499));
+    ownership.held(lapse - 100, lapse - 500);
+    let until = lapse - 500 + HOLD_MS;
+    assert!(ownership.acting(until - 1));
+    assert!(!ownership.lease_valid(until - 1));
+    assert!(!ownership.acting(until));
+    // Late promises revive nothing: another may have been the owner meanwhile.
+    ownership.held(until + 10, until + 5);
+    assert!(!ownership.acting(until + 10));
+    ownership.poll(until + 10, &mirror, true);
+    assert!(!ownership.promise(until + 10), "it may still be the owner");
+}
+
+#[test]
+fn a_controller_that_promised_does_not_claim_nor_does_its_next_life() {
+    let mut mirror = Mirror::default();
+    mirror.complete = true;
+    mirror.term = (3, 8);
+    let mut ownership = Ownership::new("a", 1, AGE_MS);
+    let settled = HOLD_MS + MARGIN_MS;
+    // A former life may have promised just before this one began.
+    assert_eq!(ownership.poll(0, &mirror, true), None);
+    assert_eq!(ownership.poll(settled - 1, &mirror, true), None);
+    assert!(ownership.promise(settled - 1));
+    assert_eq!(ownership.poll(2 * settled - 2, &mirror, true), None);
+    assert_eq!(ownership.poll(2 * settled - 1, &mirror, true), Some(Wish::Grant));
+    assert!(!ownership.promise(2 * settled), "it is about to claim");
+}
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -2,6 +2,7 @@
 //! what is forwarded or relayed.
 
 use crate::Millis;
+use crate::store::JobKey;
 use crate::wire::{DirectCommands, Report, ReportAnswer};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -81,6 +82,21 @@
     Pushed {
         replies: Vec<(u64, WorkerReply)>,
     },
+    /// An owner that can't reach the state service asks all others not to claim
+    /// for a while. `asked`: by its clock, which means nothing to another life of
+    /// it, hence the term; `revision`: what its mirror holds.
+    Hold {
+        share: String,
+        term: u64,
+        asked: u64,
+        revision: u64,
+    },
+    /// They won't, nor can they reach it; and these were cancelled since.
+    Held {
+        term: u64,
+        asked: u64,
+        cancelled: Vec<(JobKey, u64)>,
+    },
     /// Task counts of unfinished jobs, for display: id, done, running.
     Counts {
         share: String,
@@ -90,6 +106,8 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Link {
+    /// When it was asked, by the owner's clock, what it last promised.
+    held_at: Millis,
     heard_at: Option<Millis>,
     owns_term: Option<u64>,
     store_ok: bool,
@@ -159,6 +177,18 @@
         links.map(|(node, _)| node.as_str()).collect()
     }
 
+    /// It promised not to claim.
+    pub fn held(&mut self, node: &str, asked: Millis) {
+        if let Some(link) = self.links.get_mut(node) {
+            link.held_at = link.held_at.max(asked);
+        }
+    }
+
+    /// When the controller was asked whose promise is the oldest.
+    pub fn all_held_at(&self) -> Option<Millis> {
+        self.links.values().map(|link| link.held_at).min()
+    }
+
     /// A controller in reach that can use the state service.
     pub fn with_store(&self, now: Millis) -> Option<&str> {
         self.links
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -47,3 +47,16 @@
     assert_eq!(peers.with_store(100), Some("a"));
     assert_eq!(peers.owner(10_000), None);
 }
+
+/// Guards against an owner that acts on while one controller, which gave no
+/// promise, claims the share or confirms cancellations.
+#[test]
+fn promises_count_only_from_all() {
+    let mut peers = Peers::new(["a".to_string(), "b".to_string()]);
+    peers.held("a", 700);
+    assert_eq!(peers.all_held_at(), Some(0));
+    peers.held("b", 500);
+    peers.held("b", 400);
+    assert_eq!(peers.all_held_at(), Some(500));
+    assert_eq!(Peers::new([]).all_held_at(), None);
+}
--- a/tests/rules/meetings.rs
+++ b/tests/rules/meetings.rs
@@ -533,3 +533,52 @@
         _ => draw(rng, 3),
     }
 }
+
+/// An outage of the state service for all, longer than the workers' leases: as
+/// all controllers know of each other that none can claim, what runs goes on.
+#[test]
+fn what_runs_goes_on_through_a_long_outage() {
+    for seed in seeds() {
+        let outage = vec![(45_000, Trouble::StoreOutage { ms: 60_000 })];
+        let mut world = World::new(seed, 5, 24, outage);
+        world.run_times = 12;
+        // Past what was being stopped for others when it began.
+        world.run(49_000);
+        let before = world.lost_tasks;
+        world.run(104_500);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        let lost = world.lost_tasks - before;
+        assert!(lost <= 2, "seed {seed}: {lost} tasks lost");
+    }
+}
+
+/// Nothing may be kept alive on promises where one controller can't give them:
+/// it might be the one that confirms cancellations.
+#[test]
+fn a_leader_without_all_promises_stops() {
+    meet(12, |rng| {
+        let at = rng.random_range(40_000..55_000);
+        let ms = CANCEL_MS + rng.random_range(5_000..20_000);
+        let other = rng.random_range(0..3);
+        vec![
+            (at, Trouble::Refused { node: OWNER, ms }),
+            (
+                at + 200,
+                Trouble::CancelNow {
+                    hang_ms: pick(rng, &[0, 12_000]),
+                },
+            ),
+            (at + 1_500, Trouble::StoreOutage { ms }),
+            (
+                at + rng.random_range(0..9_000),
+                match rng.random_range(0..4) {
+                    0 => Trouble::Blink { node: other },
+                    1 => Trouble::CutFromPeers { node: other, ms },
+                    2 => Trouble::Freeze { node: other, ms: 9_000 },
+                    _ => Trouble::PeersRefuse { ms: 8_000 },
+                },
+            ),
+            (at + rng.random_range(0..20_000), Trouble::Refused { node: other, ms }),
+        ]
+    });
+}
--- a/tests/rules/world/machines.rs
+++ b/tests/rules/world/machines.rs
@@ -79,6 +79,7 @@
                     if let Some(machines) = self.on.get_mut(&task) {
                         machines.remove(machine);
                     }
+                    self.lost_tasks += u64::from(!done);
                     if done {
                         self.ended_now(&task);
                         self.done_tasks.insert(task);
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -197,6 +197,8 @@
     pub done_tasks: BTreeSet<String>,
     pub broken: Vec<String>,
     pub starts: u64,
+    /// Tasks that left their machine before their end.
+    pub lost_tasks: u64,
     /// Starts of jobs whose users had been told that they are cancelled.
     pub starts_after_cancel: u64,
     /// The longest that a task stayed on a machine after its user was told so.
@@ -272,6 +274,7 @@
             done_tasks: BTreeSet::new(),
             broken: Vec::new(),
             starts: 0,
+            lost_tasks: 0,
             starts_after_cancel: 0,
             longest_cancelled: 0,
             sent: Sent::default(),
