Say once how to tell all controllers, when a lease has lapsed, which chunk a task is in

Three loops that send one message to every other controller are tell_all; the lapse of a worker's lease is reckoned in settings, beside the age of the mirror that depends on the same drift and second; a withdrawn start finds its chunk by Job::chunk_of.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -301,12 +301,7 @@
                 owns_term: self.owns_share().then_some(self.ownership.term),
                 store_ok: self.store_ok(),
             };
-            for node in self.peers.names() {
-                self.outputs.push(Output::Peer {
-                    node,
-                    message: message.clone(),
-                });
-            }
+            self.tell_all(&message);
         }
         self.ask_to_hold();
         let wants =
@@ -392,6 +387,10 @@
             asked: self.now,
             revision: self.mirror.revision,
         };
+        self.tell_all(&message);
+    }
+
+    fn tell_all(&mut self, message: &Message) {
         for node in self.peers.names() {
             let message = message.clone();
             self.outputs.push(Output::Peer { node, message });
--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -716,15 +716,8 @@
             asked = self.intake.len(),
             "share"
         );
-        for node in self.peers.names() {
-            self.outputs.push(Output::Peer {
-                node,
-                message: Message::Counts {
-                    share: SHARE.into(),
-                    counts: counts.clone(),
-                },
-            });
-        }
+        let share = SHARE.into();
+        self.tell_all(&Message::Counts { share, counts });
     }
 }
 
--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -104,8 +104,7 @@
             wall: 0,
             due: within("finished"),
             start_within: within("wait"),
-            // Drift of both clocks, and a second for good measure.
-            lapse_ms: crate::millis(params.workers.lease_s * 1.002) + 1_000,
+            lapse_ms: settings.lapse_ms(),
             chunk_tasks: chunk_tasks(params.state.value_kb),
             hire_prefix: keys.hires(),
             team_names,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -128,6 +128,11 @@
         Ok(settings)
     }
 
+    /// After this much time without an answer a worker has surely dropped its tasks.
+    pub fn lapse_ms(&self) -> crate::Millis {
+        crate::millis(self.params.workers.lease_s * DRIFT) + crate::millis(SETTLE_S)
+    }
+
     /// How old the owner's knowledge of cancellations may be while it answers
     /// workers: from the confirmation of a cancellation until the lease that the
     /// last answer renewed has surely lapsed, no more than `cancel_s` may pass.
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -226,12 +226,14 @@
         let Some(attempt) = self.attempts.get_mut(ix) else {
             return;
         };
-        if self.jobs.get(attempt.job).is_none_or(|job| job.ended.is_some()) {
-            self.close(now, ix, Outcome::Lost);
-        } else if !std::mem::replace(&mut attempt.withdrawn, true) {
-            self.ledger
-                .starts
-                .insert((attempt.job, attempt.task / self.chunk_tasks));
+        match self.jobs.get(attempt.job).filter(|job| job.ended.is_none()) {
+            None => self.close(now, ix, Outcome::Lost),
+            Some(job) if !attempt.withdrawn => {
+                attempt.withdrawn = true;
+                let chunk = job.chunk_of(attempt.task, self.chunk_tasks) as u32;
+                self.ledger.starts.insert((attempt.job, chunk));
+            }
+            Some(_) => {}
         }
     }
 
