Say once in the stand-ins how a request is noted, a zone is alone and a task's job found

Found on reading the change once more (twins of network and users): four places that noted a request are expect, five that worked out whether the controller of the cut-off zone is alone are alone_until, and started finds a task's job by job_of instead of by a scan of all jobs, once per task on a machine.

--- a/tests/rules/world/checks.rs
+++ b/tests/rules/world/checks.rs
@@ -12,15 +12,15 @@
                 .push(format!("ran_twice: {task} on {machine} and {on:?} at {now}"));
         }
         on.insert(machine.into());
-        let id = task.split('/').next().unwrap_or_default();
-        let Some(job) = self.jobs.iter().find(|job| job.spec.id == id) else {
+        let Some(index) = self.job_of(task) else {
             self.broken.push(format!("a task of no job: {task}"));
             return;
         };
+        let job = &self.jobs[index];
         let worker = &self.workers[machine];
         let spec = &job.spec;
         let allowed = spec.zone.as_ref().is_none_or(|zone| *zone == worker.zone) && (spec.spot || !worker.spot);
-        let prefix = format!("{id}/");
+        let prefix = format!("{}/", spec.id);
         let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
         for (_, machines) in self.on.iter().filter(|(task, _)| task.starts_with(&prefix)) {
             for machine in machines {
@@ -39,23 +39,17 @@
         if job.told == Told::Cancelled && now > job.told_at + CANCEL_MS {
             self.broken.push(format!("ran_cancelled: {task} started at {now}"));
         }
-        let id = id.to_owned();
-        if let Some(job) = self.jobs.iter_mut().find(|job| job.spec.id == id) {
-            job.first_start.get_or_insert(now);
-            job.waits_since = None;
-        }
+        let job = &mut self.jobs[index];
+        job.first_start.get_or_insert(now);
+        job.waits_since = None;
         for team in ["red", "blue"] {
             let used: f64 = self
                 .on
                 .iter()
                 .filter(|(_, machines)| !machines.is_empty())
                 .filter_map(|(task, machines)| {
-                    let id = task.split('/').next()?;
-                    let job = self
-                        .jobs
-                        .iter()
-                        .find(|job| job.spec.id == id && job.spec.team == team)?;
-                    Some(job.spec.cpus * machines.len() as f64)
+                    let spec = &self.jobs[self.job_of(task)?].spec;
+                    (spec.team == team).then_some(spec.cpus * machines.len() as f64)
                 })
                 .sum();
             if used > self.team_cpus + 1e-6 {
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -412,14 +412,11 @@
         let nodes = self.nodes.len();
         if self.now % 1_000 < 100 {
             for node in 0..nodes {
-                let alone = node == SOUTH_NODE && self.now < self.south_alone;
-                if alone || self.now < self.nodes[node].frozen_until {
+                if self.now < self.alone_until(node).max(self.nodes[node].frozen_until) {
                     self.nodes[node].healthy = false;
                     continue;
                 }
-                self.next_request += 1;
-                let request = self.next_request;
-                self.requests.insert((node, request), Waiting::Health);
+                let request = self.expect(node, Waiting::Health);
                 self.step(node, Input::Health { request });
             }
         }
--- a/tests/rules/world/network.rs
+++ b/tests/rules/world/network.rs
@@ -49,11 +49,7 @@
                 let Some(to) = self.nodes.iter().position(|other| other.name == to) else {
                     return;
                 };
-                let alone = if (node == SOUTH_NODE) != (to == SOUTH_NODE) {
-                    self.south_alone
-                } else {
-                    0
-                };
+                let alone = self.alone_until(node).max(self.alone_until(to));
                 let cut = self.nodes[node].peer_cut.max(self.nodes[to].peer_cut).max(alone);
                 if self.now < cut.max(self.peers_refuse) {
                     return;
@@ -89,7 +85,7 @@
                     self.at(self.now + 2_000, Happening::Input { node, life, input });
                     return;
                 }
-                let alone = if node == SOUTH_NODE { self.south_alone } else { 0 };
+                let alone = self.alone_until(node);
                 let cut = self.nodes[node].store_cut.max(alone);
                 if self.now < cut {
                     // Held back: applied late, when nobody waits any more.
@@ -292,9 +288,7 @@
                 if self.nodes[node].controller.is_none() {
                     return;
                 }
-                self.next_request += 1;
-                let request = self.next_request;
-                self.requests.insert((node, request), Waiting::Report { machine, id });
+                let request = self.expect(node, Waiting::Report { machine, id });
                 self.step(node, Input::Report { request, report });
             }
             Happening::ReportAnswered { machine, id, answer } => self.report_answered(&machine, id, &answer),
@@ -360,11 +354,7 @@
             let empty = matches!(&answer, StoreReply::Log(log) if log.events.is_empty());
             let node_shut = &self.nodes[node];
             let shut = node_shut.store_cut.max(node_shut.refused).max(node_shut.reads_lost);
-            let shut = if node == SOUTH_NODE {
-                shut.max(self.south_alone)
-            } else {
-                shut
-            };
+            let shut = shut.max(self.alone_until(node));
             if (empty && self.now < until) || self.now < shut {
                 self.watches.push((until, node, life, call, request));
             } else {
@@ -415,6 +405,18 @@
         );
     }
 
+    /// Notes that a request to a controller waits for its answer.
+    pub(super) fn expect(&mut self, node: usize, waiting: Waiting) -> u64 {
+        self.next_request += 1;
+        self.requests.insert((node, self.next_request), waiting);
+        self.next_request
+    }
+
+    /// Until when a controller is cut off with its zone from all other zones.
+    pub(super) fn alone_until(&self, node: usize) -> u64 {
+        if node == SOUTH_NODE { self.south_alone } else { 0 }
+    }
+
     /// Until when a controller and machines of the south, or of the north, can't
     /// reach each other.
     pub(super) fn apart(&self, node: usize, south: bool) -> u64 {
--- a/tests/rules/world/users.rs
+++ b/tests/rules/world/users.rs
@@ -158,14 +158,13 @@
         };
         // Some users open a new one each time.
         self.jobs[index].node = index.is_multiple_of(2).then_some(node);
-        let alone = node == SOUTH_NODE && self.now < self.south_alone;
-        if alone || self.nodes[node].controller.is_none() || self.now < self.nodes[node].frozen_until {
+        if self.now < self.alone_until(node)
+            || self.nodes[node].controller.is_none()
+            || self.now < self.nodes[node].frozen_until
+        {
             return;
         }
-        self.next_request += 1;
-        let request = self.next_request;
-        self.requests
-            .insert((node, request), Waiting::User { job: index, kind });
+        let request = self.expect(node, Waiting::User { job: index, kind });
         self.step(node, Input::User { request, ask });
     }
 
@@ -266,10 +265,7 @@
         if self.nodes[node].controller.is_none() || self.now < self.nodes[node].frozen_until {
             return;
         }
-        self.next_request += 1;
-        let request = self.next_request;
-        self.requests
-            .insert((node, request), Waiting::User { job: index, kind });
+        let request = self.expect(node, Waiting::User { job: index, kind });
         self.step(node, Input::User { request, ask });
     }
 
