--- a/src/controller/owner.rs
+++ b/src/controller/owner.rs
@@ -71,8 +71,10 @@
         match reply {
             StoreReply::Granted { lease } => {
                 let sent = self.ownership.asked_at();
-                let transaction = self.ownership.granted(lease, sent, &self.keys, &self.mirror);
-                self.send_claim(transaction);
+                match self.ownership.granted(lease, sent, &self.keys, &self.mirror) {
+                    Some(transaction) => self.send_claim(transaction),
+                    None => self.stand_by(0),
+                }
             }
             _ => self.ownership.step_down(self.now, 500),
         }
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -183,7 +183,7 @@
                 let vacant = match &mirror.owner {
                     // Where there never was an owner, nobody was promised anything.
                     None => mirror.term.0 == 0 || now >= born_at + HOLD_MS + MARGIN_MS,
-                    Some((owner, _)) => owner.node == self.node && owner.life != self.life,
+                    Some((owner, _)) => self.was_mine(owner),
                 };
                 if !vacant {
                     self.vacant_since = None;
@@ -210,14 +210,16 @@
         }
     }
 
-    pub fn granted(&mut self, lease: u64, sent: Millis, keys: &Keys, mirror: &Mirror) -> Transaction {
+    /// The claim, unless somebody else claimed while the lease was asked for: that
+    /// owner acts until its own lease lapses.
+    pub fn granted(&mut self, lease: u64, sent: Millis, keys: &Keys, mirror: &Mirror) -> Option<Transaction> {
+        if mirror.owner.as_ref().is_some_and(|(owner, _)| !self.was_mine(owner)) {
+            return None;
+        }
         self.lease = Some(lease);
         self.valid_until = sent + LEASE_MS - MARGIN_MS;
-        self.claim(
-            keys,
-            mirror.owner.as_ref().map_or(0, |(_, version)| *version),
-            mirror.term,
-        )
+        let version = mirror.owner.as_ref().map_or(0, |(_, version)| *version);
+        Some(self.claim(keys, version, mirror.term))
     }
 
     /// Claims once more over one's own claim: the term rises, and with it every
@@ -259,6 +261,11 @@
         self.suspended = false;
     }
 
+    /// A claim by an earlier life of this process.
+    fn was_mine(&self, owner: &OwnerValue) -> bool {
+        owner.node == self.node && owner.life != self.life
+    }
+
     /// True if a claim key read from the store is the one last asked for.
     pub fn is_mine(&self, owner: &OwnerValue) -> bool {
         owner.node == self.node && owner.life == self.life && owner.term == self.term
--- a/src/ownership/tests.rs
+++ b/src/ownership/tests.rs
@@ -11,7 +11,7 @@
     let mut ownership = Ownership::new("a", 1, AGE_MS);
     ownership.mirror_read(sent + LEASE_MS);
     assert_eq!(ownership.poll(sent, &mirror, true), Some(Wish::Grant));
-    ownership.granted(9, sent, &keys, &mirror);
+    assert!(ownership.granted(9, sent, &keys, &mirror).is_some());
     ownership.claimed(5);
     ownership.phase = Phase::Active;
     (ownership, keys, mirror)
@@ -114,3 +114,25 @@
     assert_eq!(ownership.poll(2 * settled - 1, &mirror, true), Some(Wish::Grant));
     assert!(!ownership.promise(2 * settled), "it is about to claim");
 }
+
+/// Guards against two owners at once: another's claim, seen while the lease was
+/// asked for, was taken for the version to claim over, and its owner acted on for
+/// as long as it did not hear of it (`fleetbench real`, a log of inc-a48c).
+#[test]
+fn nobody_claims_over_a_claim_seen_while_the_lease_was_asked_for() {
+    let keys = Keys::new("pool");
+    let mut mirror = Mirror::default();
+    mirror.complete = true;
+    let mut ownership = Ownership::new("a", 1, AGE_MS);
+    assert_eq!(ownership.poll(0, &mirror, true), Some(Wish::Grant));
+    let claim = |node: &str, life| OwnerValue {
+        node: node.into(),
+        life,
+        term: 1,
+    };
+    mirror.owner = Some((claim("b", 2), 1));
+    assert_eq!(ownership.granted(9, 0, &keys, &mirror), None);
+    // One of its own earlier life is as good as none.
+    mirror.owner = Some((claim("a", 2), 1));
+    assert!(ownership.granted(9, 0, &keys, &mirror).is_some());
+}
