Spend less on each request: a task for the loop, own HTTP connections, fewer packets

Each event cost a second epoll_wait, since the loop ran in block_on's own future; poem's server kept a second task and timer for each connection, woken by each read and write; each frame between controllers was a packet of its own, twenty a second and peer, and each heartbeat was acknowledged.

Change: the loop is a task; connections are served by hyper's HTTP/1.1 connection, requests still by a poem endpoint; messages that wait together are written together; reports are relayed every 100 ms; one acknowledgement in two seconds. The bounds on connections, relays and events follow from the settings.

--- a/src/controller/follower.rs
+++ b/src/controller/follower.rs
@@ -14,9 +14,9 @@
 const BACK_SOON_MS: Millis = 25_000;
 const STAY_MS: Millis = 60_000;
 const MAX_REDIRECTED: usize = 5_000;
-/// Reports waiting for the owner's answer, and commands held for it.
-const MAX_RELAYS: usize = 2_000;
-const MAX_HELD: usize = 512;
+/// How often reports are relayed to the leader and replies returned to it. A frame
+/// costs the leader more than most of what it holds.
+const RELAY_EVERY_MS: Millis = 100;
 /// Cancellations told with a promise; one that would take more is not given.
 const MAX_CANCELLED: usize = 200;
 /// Reports or replies in one message, so that frames stay small.
@@ -36,7 +36,7 @@
             self.answer_worker(request, reply);
             return;
         }
-        if self.peers.owner(self.now).is_none() || self.relays.len() >= MAX_RELAYS {
+        if self.peers.owner(self.now).is_none() || self.relays.len() >= self.connections.served as usize {
             self.answer_worker(request, ReportReply::Elsewhere(None));
             return;
         }
@@ -109,7 +109,7 @@
 
     fn hold(&mut self, node: String, commands: Vec<(u64, String, DirectCommands)>) {
         for (id, address, commands) in commands {
-            if self.held.len() >= MAX_HELD {
+            if self.held.len() >= self.connections.in_flight {
                 let refused = (id, WorkerReply::NotSent);
                 self.pushed_out.entry(node.clone()).or_default().push(refused);
                 continue;
@@ -287,7 +287,10 @@
                 self.answer_worker(request, ReportReply::Elsewhere(None));
             }
         }
-        self.flush();
+        if now >= self.relayed_at + RELAY_EVERY_MS {
+            self.relayed_at = now;
+            self.flush();
+        }
         // Forwards are given up by intake; what is left here is forgotten with it.
         if self.forwards.len() > 2_000 {
             let oldest = self.next_forward.saturating_sub(1_000);
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -16,8 +16,6 @@
 const MAINTENANCE_EVERY_MS: Millis = 200;
 /// How often what nobody waits for is written.
 const COMMIT_ANYWAY_MS: Millis = 150;
-/// Direct commands in flight at once.
-const MAX_PUSHES: usize = 256;
 /// Longer than any call to a worker takes.
 const PUSH_PATIENCE_MS: Millis = 5_000;
 const COUNTS_EVERY_MS: Millis = 1_000;
@@ -494,13 +492,19 @@
         }
     }
 
+    /// Direct commands in flight at once: half of what all other controllers would
+    /// hold, so that one of them has room for more than its part.
+    fn most_pushes(&self) -> usize {
+        self.connections.in_flight * self.peers.in_reach_now(self.now).len().div_ceil(2).max(1)
+    }
+
     fn push_commands(&mut self) {
         let (now, term) = (self.now, self.ownership.term);
+        let mut room = self.most_pushes().saturating_sub(self.pushes.len());
         let Some(share) = &mut self.share else {
             return;
         };
         let mut sends = Vec::new();
-        let mut room = MAX_PUSHES.saturating_sub(self.pushes.len());
         let mut due: Vec<Ix> = share.to_push.iter().copied().collect();
         // Those with open attempts hold up work; the others can wait.
         due.sort_by_key(|&ix| share.machines.get(ix).is_none_or(|machine| machine.open.is_empty()));
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -16,7 +16,7 @@
 pub use crate::peers::WorkerReply;
 use crate::peers::{Answer, Ask, Message, Peers};
 use crate::policy::Policy;
-use crate::settings::Settings;
+use crate::settings::{Connections, Settings};
 use crate::store::{Bucket, Keys, Mirror, MirrorChange, StoreReply, StoreRequest};
 use crate::wire::{Catalogue, DirectCommands, HireRequest, JobSpec, MachineList, MachineNames, Report, Transaction};
 use crate::{Millis, Now};
@@ -203,8 +203,10 @@
     forwards: BTreeMap<u64, u64>,
     next_forward: u64,
     relays: BTreeMap<u64, (u64, Millis)>,
-    /// Reports to relay with the next tick.
+    /// Reports to relay to the leader, and when that was last done.
     relay_out: Vec<(u64, Report)>,
+    relayed_at: Millis,
+    connections: Connections,
     /// Commands taken over from an owner, by our call: who asked, and its id.
     held: BTreeMap<u64, (String, u64)>,
     pushed_out: BTreeMap<String, Vec<(u64, WorkerReply)>>,
@@ -260,6 +262,8 @@
             next_forward: life >> 1,
             relays: BTreeMap::new(),
             relay_out: Vec::new(),
+            relayed_at: 0,
+            connections: settings.connections(),
             held: BTreeMap::new(),
             pushed_out: BTreeMap::new(),
             redirected: BTreeMap::new(),
--- a/src/runtime/calls.rs
+++ b/src/runtime/calls.rs
@@ -28,9 +28,15 @@
 }
 
 impl Calls {
-    pub fn new(settings: &Settings, events: mpsc::Sender<Event>, store_events: mpsc::Sender<Event>) -> Calls {
+    /// `kept_idle`: connections kept open between calls.
+    pub fn new(
+        settings: &Settings,
+        kept_idle: usize,
+        events: mpsc::Sender<Event>,
+        store_events: mpsc::Sender<Event>,
+    ) -> Calls {
         Calls {
-            client: Client::default(),
+            client: Client::new(kept_idle),
             state: settings.services.state,
             cloud: settings.services.cloud,
             events,
--- a/src/runtime/client.rs
+++ b/src/runtime/client.rs
@@ -1,3 +1,5 @@
+//! HTTP/1.1 calls over kept connections.
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -12,9 +14,10 @@
 
 const CONNECT: Duration = Duration::from_millis(1_500);
 const MAX_BODY: usize = 16 << 20;
+/// Connections kept to one address.
 const MAX_IDLE: usize = 8;
-/// Enough for the machines that one controller hands commands to.
-pub const MAX_IDLE_TOTAL: usize = 600;
+/// Connections kept by a client that talks to a few addresses only.
+const FEW_IDLE: usize = 8;
 
 /// Why there is no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,12 +31,75 @@
 type Connection = SendRequest<Full<Bytes>>;
 
 /// HTTP/1.1 over a few kept connections per address.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
+    idle: Arc<Mutex<Idle>>,
+}
+
+impl Default for Client {
+    fn default() -> Client {
+        Client::new(FEW_IDLE)
+    }
+}
+
+/// The connections without a request, by address. No address without any stays.
+struct Idle {
+    by_address: HashMap<SocketAddr, Vec<Connection>>,
+    count: usize,
+    most: usize,
+}
+
+impl Idle {
+    fn take(&mut self, address: SocketAddr) -> Option<Connection> {
+        let kept = self.by_address.get_mut(&address)?;
+        let mut ready = None;
+        while let Some(connection) = kept.pop() {
+            self.count -= 1;
+            if connection.is_ready() {
+                ready = Some(connection);
+                break;
+            }
+        }
+        if kept.is_empty() {
+            self.by_address.remove(&address);
+        }
+        ready
+    }
+
+    fn keep(&mut self, address: SocketAddr, connection: Connection) {
+        if self.count >= self.most {
+            self.drop_other(address);
+        }
+        let kept = self.by_address.entry(address).or_default();
+        if kept.len() < MAX_IDLE {
+            kept.push(connection);
+            self.count += 1;
+        }
+    }
+
+    /// Any of them: all are as good as gone if they are not used again.
+    fn drop_other(&mut self, address: SocketAddr) {
+        let other = self.by_address.keys().find(|&&other| other != address).copied();
+        if let Some(dropped) = other.and_then(|other| self.by_address.remove(&other)) {
+            self.count -= dropped.len();
+        }
+    }
 }
 
 impl Client {
+    /// Keeps at most so many connections without a request.
+    pub fn new(most_idle: usize) -> Client {
+        let idle = Idle {
+            by_address: HashMap::new(),
+            count: 0,
+            most: most_idle,
+        };
+        Client {
+            idle: Arc::new(Mutex::new(idle)),
+        }
+    }
+
+    /// Sends a request and waits for its response, each part for `patience`.
     pub async fn request(
         &self,
         address: SocketAddr,
@@ -77,37 +143,14 @@
     }
 
     fn take(&self, address: SocketAddr) -> Option<Connection> {
-        let mut idle = self.idle.lock().ok()?;
-        let mut kept = idle.remove(&address)?;
-        while let Some(connection) = kept.pop() {
-            if connection.is_ready() {
-                // No address without connections stays: one would be dropped in
-                // place of a connection when there are too many.
-                if !kept.is_empty() {
-                    idle.insert(address, kept);
-                }
-                return Some(connection);
-            }
-        }
-        None
+        self.idle.lock().ok()?.take(address)
     }
 
     fn keep(&self, address: SocketAddr, connection: Connection) {
-        let Ok(mut idle) = self.idle.lock() else {
-            return;
-        };
-        if connection.is_closed() {
-            return;
-        }
-        if idle.values().map(Vec::len).sum::<usize>() >= MAX_IDLE_TOTAL {
-            // Any of them: all are as good as gone if they are not used again.
-            if let Some(other) = idle.keys().find(|&&other| other != address).copied() {
-                idle.remove(&other);
-            }
-        }
-        let kept = idle.entry(address).or_default();
-        if kept.len() < MAX_IDLE {
-            kept.push(connection);
+        if let Ok(mut idle) = self.idle.lock()
+            && !connection.is_closed()
+        {
+            idle.keep(address, connection);
         }
     }
 }
--- a/src/runtime/front.rs
+++ b/src/runtime/front.rs
@@ -1,31 +1,28 @@
-//! HTTP for users, workers and health checks.
+//! Endpoints for users, workers and health checks.
 
 use super::Event;
 use crate::intake::{busy, text};
 use crate::peers::{Answer, Ask};
 use poem::http::{Method, StatusCode};
-use poem::listener::Acceptor;
-use poem::web::{LocalAddr, RemoteAddr};
-use poem::{Endpoint, Request, Response, Server};
-use std::io;
-use std::pin::Pin;
+use poem::{Body, Endpoint, Request, Response};
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::timeout;
 
 const MAX_BODY: usize = 64 * 1024;
 /// A report lists every task of its machine and may be longer than a job.
 const MAX_REPORT: usize = 1024 * 1024;
-const IDLE: Duration = Duration::from_secs(90);
+/// A body that takes longer to arrive holds memory for nothing: users give up
+/// after 5 s, workers after 4 s.
+const BODY_PATIENCE: Duration = Duration::from_secs(5);
 
 /// With less than this part of the connections free, each is closed after its
 /// answer. Workers and users keep theirs between requests, and where few
 /// controllers are left the rest would wait for one until their leases are over.
 const SHORT_PART: usize = 8;
 
+/// Turns requests into events for the controller, and its answers into responses.
 pub struct Front {
     urgent: mpsc::Sender<Event>,
     users: mpsc::Sender<Event>,
@@ -33,17 +30,6 @@
     room: Arc<Semaphore>,
 }
 
-pub async fn serve(listener: TcpListener, front: Front) {
-    let acceptor = Bounded {
-        listener,
-        room: front.room.clone(),
-    };
-    let server = Server::new_with_acceptor(acceptor).idle_timeout(IDLE);
-    if let Err(error) = server.run(front).await {
-        tracing::error!(%error, "the HTTP server ended");
-    }
-}
-
 impl Endpoint for Front {
     type Output = Response;
 
@@ -53,18 +39,18 @@
         let answer = match (method, path.as_str()) {
             (Method::GET, "/healthz") => self.send(&self.urgent, |reply| Event::Health { reply }).await,
             (Method::POST, "/checkin") => {
-                let body = request.take_body().into_bytes_limit(MAX_REPORT).await;
-                match body.ok().and_then(|body| serde_json::from_slice(&body).ok()) {
+                let body = read(request.take_body(), MAX_REPORT).await;
+                match body.and_then(|body| serde_json::from_slice(&body).ok()) {
                     Some(report) => self.send(&self.urgent, |reply| Event::Report { report, reply }).await,
                     None => text(400, "not a report"),
                 }
             }
-            (Method::POST, "/v1/jobs") => match request.take_body().into_bytes_limit(MAX_BODY).await {
-                Ok(body) => match String::from_utf8(body.to_vec()) {
+            (Method::POST, "/v1/jobs") => match read(request.take_body(), MAX_BODY).await {
+                Some(body) => match String::from_utf8(body) {
                     Ok(body) => self.ask(Ask::Submit(body)).await,
                     Err(_) => text(400, "not UTF-8"),
                 },
-                Err(_) => text(400, "the body is too long or broken"),
+                None => text(400, "the body is too long or broken"),
             },
             (method, path) => match (method, job_path(path)) {
                 (Method::GET, Some((id, None))) => self.ask(Ask::Show(id.into())).await,
@@ -87,6 +73,12 @@
     }
 }
 
+/// The whole body, unless it is longer than `most`, broken or too slow.
+async fn read(body: Body, most: usize) -> Option<Vec<u8>> {
+    let bytes = timeout(BODY_PATIENCE, body.into_bytes_limit(most)).await;
+    Some(bytes.ok()?.ok()?.into())
+}
+
 /// `/v1/jobs/{id}` and what may follow it.
 fn job_path(path: &str) -> Option<(&str, Option<&str>)> {
     let rest = path.strip_prefix("/v1/jobs/")?;
@@ -109,6 +101,11 @@
         }
     }
 
+    /// One permit for each connection that may be served.
+    pub fn room(&self) -> Arc<Semaphore> {
+        self.room.clone()
+    }
+
     async fn ask(&self, ask: Ask) -> Answer {
         self.send(&self.users, |reply| Event::Ask { ask, reply }).await
     }
@@ -122,82 +119,5 @@
     }
 }
 
-/// Accepts no more connections than there is room for.
-struct Bounded {
-    listener: TcpListener,
-    room: Arc<Semaphore>,
-}
-
-impl Acceptor for Bounded {
-    type Io = Guarded;
-
-    fn local_addr(&self) -> Vec<LocalAddr> {
-        let address = self.listener.local_addr();
-        address.into_iter().map(|address| LocalAddr(address.into())).collect()
-    }
-
-    async fn accept(&mut self) -> io::Result<(Guarded, LocalAddr, RemoteAddr, poem::http::uri::Scheme)> {
-        let permit = self.room.clone().acquire_owned().await.map_err(io::Error::other)?;
-        let (stream, remote) = match self.listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                // Out of sockets, most likely; trying again at once would spin.
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                return Err(error);
-            }
-        };
-        super::send_without_delay(&stream);
-        let local = self.listener.local_addr()?;
-        let guarded = Guarded {
-            stream,
-            _permit: permit,
-        };
-        Ok((
-            guarded,
-            LocalAddr(local.into()),
-            RemoteAddr(remote.into()),
-            poem::http::uri::Scheme::HTTP,
-        ))
-    }
-}
-
-/// A connection that makes room for another when it is dropped.
-struct Guarded {
-    stream: TcpStream,
-    _permit: OwnedSemaphorePermit,
-}
-
-impl AsyncRead for Guarded {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for Guarded {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/runtime/front/tests.rs
+++ b/src/runtime/front/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
+use crate::runtime::http_server::serve;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 /// Guards against connections kept open for the next report while others
 /// wait for one: with one controller left, the workers that came last found
--- a/src/runtime/links.rs
+++ b/src/runtime/links.rs
@@ -1,9 +1,13 @@
 //! Links between controllers: each dials every other and sends on the
 //! connection it dialled. A frame is a length and a MessagePack message.
 //!
-//! Each heartbeat is acknowledged with one byte. Without that the sender cannot
-//! tell a live link from a half-open one: small frames fit the socket's buffer
-//! for minutes after the receiver has closed its end.
+//! Heartbeats are acknowledged with one byte, the first and then one every two
+//! seconds. Without that the sender cannot tell a live link from a half-open one:
+//! small frames fit the socket's buffer for minutes after the receiver has closed
+//! its end.
+//!
+//! Messages that wait together are written together: a packet costs more than what
+//! most of them hold.
 
 use super::Event;
 use crate::controller::Input;
@@ -18,16 +22,21 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 const MAX_FRAME: u32 = 2 << 20;
+/// A frame begins with the length of its message.
+const LENGTH_BYTES: usize = 4;
 const CONNECT: Duration = Duration::from_secs(1);
 const WRITE: Duration = Duration::from_secs(2);
-/// Heartbeats, and so their acknowledgements, come twice a second; a link
-/// without any for this long is dead.
+/// A link without any acknowledgement for this long is dead.
 const SILENCE: Duration = Duration::from_secs(8);
+const ACKNOWLEDGE_EVERY: Duration = Duration::from_secs(2);
 const ACKNOWLEDGEMENT: u8 = 1;
+/// No more is put together into one write.
+const MAX_WRITE: usize = 64 * 1024;
 /// Enough for every peer to redial several times while this process stands
 /// still and can't see that the earlier connections were given up.
 const MAX_LINKS: usize = 128;
 
+/// Keeps a link to a peer and sends it what comes.
 pub async fn dial(address: SocketAddr, mut messages: mpsc::Receiver<Message>) {
     loop {
         if let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(address)).await {
@@ -54,7 +63,14 @@
                 let Some(message) = message else {
                     return Ok(());
                 };
-                timeout(WRITE, frames.write_all(&frame(&message)?)).await??;
+                let mut bytes = Vec::new();
+                add_frame(&mut bytes, &message)?;
+                while bytes.len() < MAX_WRITE
+                    && let Ok(message) = messages.try_recv()
+                {
+                    add_frame(&mut bytes, &message)?;
+                }
+                timeout(WRITE, frames.write_all(&bytes)).await??;
             }
             read = timeout_at(dead_at, acknowledgements.read(&mut received)) => {
                 if read?? == 0 {
@@ -66,13 +82,16 @@
     }
 }
 
-fn frame(message: &Message) -> io::Result<Vec<u8>> {
-    let body = rmp_serde::to_vec(message).map_err(io::Error::other)?;
-    let mut frame = (body.len() as u32).to_be_bytes().to_vec();
-    frame.extend(body);
-    Ok(frame)
+fn add_frame(bytes: &mut Vec<u8>, message: &Message) -> io::Result<()> {
+    let start = bytes.len();
+    bytes.extend([0; LENGTH_BYTES]);
+    rmp_serde::encode::write(bytes, message).map_err(io::Error::other)?;
+    let length = (bytes.len() - start - LENGTH_BYTES) as u32;
+    bytes[start..start + LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
+    Ok(())
 }
 
+/// Accepts links from peers.
 pub async fn accept(listener: TcpListener, events: mpsc::Sender<Event>) {
     let room = std::sync::Arc::new(tokio::sync::Semaphore::new(MAX_LINKS));
     loop {
@@ -98,6 +117,7 @@
     let mut frames = BufReader::new(frames);
     // The first heartbeat says who it is.
     let mut from: Option<String> = None;
+    let mut acknowledge_at = Instant::now();
     loop {
         let length = timeout(SILENCE, frames.read_u32()).await??;
         if length > MAX_FRAME {
@@ -108,7 +128,10 @@
         let message: Message = rmp_serde::from_slice(&body).map_err(io::Error::other)?;
         if let Message::Heartbeat { node, .. } = &message {
             from = Some(node.clone());
-            timeout(WRITE, acknowledgements.write_all(&[ACKNOWLEDGEMENT])).await??;
+            if Instant::now() >= acknowledge_at {
+                acknowledge_at = Instant::now() + ACKNOWLEDGE_EVERY;
+                timeout(WRITE, acknowledgements.write_all(&[ACKNOWLEDGEMENT])).await??;
+            }
         }
         if let Some(node) = &from {
             let input = Input::Peer {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod client;
 mod front;
+mod http_server;
 mod links;
 
 pub use client::{Client, Failure};
@@ -16,27 +17,37 @@
 use crate::{Millis, Now};
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::MissedTickBehavior;
 
 const TICK: Duration = Duration::from_millis(50);
-/// Sockets kept for the state service, the cloud, workers and peers.
-const RESERVED_CONNECTIONS: u32 = 320 + client::MAX_IDLE_TOTAL as u32;
-const QUEUE: usize = 4_096;
 const USER_QUEUE: usize = 512;
+/// Messages waiting for one peer; more means that its link is dead.
+const LINK_QUEUE: usize = 256;
 
-/// What the front and the calls hand to the controller's loop.
+/// What the HTTP server and the calls hand to the event loop.
 pub enum Event {
+    /// A user asks.
     Ask {
+        /// What is asked.
         ask: Ask,
+        /// Takes the answer.
         reply: oneshot::Sender<Answer>,
     },
+    /// A health check.
     Health {
+        /// Takes the answer.
         reply: oneshot::Sender<Answer>,
     },
+    /// A worker reports.
     Report {
+        /// What it says.
         report: Box<Report>,
+        /// Takes the answer.
         reply: oneshot::Sender<Answer>,
     },
+    /// Anything else, as the controller takes it.
     Input(Input),
 }
 
@@ -65,82 +76,123 @@
 
 /// Serves until the process is killed.
 pub async fn serve(settings: Settings, policy: Policy) -> std::io::Result<()> {
-    let (urgent, mut urgent_events) = mpsc::channel(QUEUE);
-    let (users, mut user_events) = mpsc::channel(USER_QUEUE);
-    let most =
-        settings.params.limits.max_connections - RESERVED_CONNECTIONS.min(settings.params.limits.max_connections / 2);
-    let front = front::Front::new(urgent.clone(), users, most);
-    let listener = tokio::net::TcpListener::bind(settings.listen).await?;
-    tokio::spawn(front::serve(listener, front));
-    let peer_listener = tokio::net::TcpListener::bind(settings.peer_listen).await?;
+    let connections = settings.connections();
+    let (urgent, urgent_events) = mpsc::channel(settings.event_queue());
+    let (users, user_events) = mpsc::channel(USER_QUEUE);
+    let (store, store_events) = mpsc::channel(settings.event_queue());
+    let front = front::Front::new(urgent.clone(), users, connections.served);
+    let listener = TcpListener::bind(settings.listen).await?;
+    tokio::spawn(http_server::serve(listener, front));
+    let peer_listener = TcpListener::bind(settings.peer_listen).await?;
     tokio::spawn(links::accept(peer_listener, urgent.clone()));
-    let mut links: HashMap<String, mpsc::Sender<Message>> = HashMap::new();
+    tracing::info!(node = settings.node, zone = settings.zone, listen = %settings.listen, "started");
+    let event_loop = EventLoop {
+        clock: Clock { start: Instant::now() },
+        links: dial_peers(&settings),
+        calls: calls::Calls::new(&settings, connections.kept_idle, urgent, store),
+        controller: Controller::new(settings, policy, rand::random()),
+        waiting: BTreeMap::new(),
+        next_request: 0,
+    };
+    // In a task of its own: waking the future that `block_on` runs costs a system
+    // call each time, waking a task does not.
+    let served = tokio::spawn(event_loop.run(store_events, urgent_events, user_events));
+    served.await.map_err(std::io::Error::other)
+}
+
+fn dial_peers(settings: &Settings) -> HashMap<String, mpsc::Sender<Message>> {
+    let mut links = HashMap::new();
     for peer in &settings.peers {
-        let (sender, receiver) = mpsc::channel(256);
+        let (sender, receiver) = mpsc::channel(LINK_QUEUE);
         tokio::spawn(links::dial(peer.address, receiver));
         links.insert(peer.node.clone(), sender);
     }
-    tracing::info!(node = settings.node, zone = settings.zone, listen = %settings.listen, "started");
+    links
+}
+
+/// Feeds the controller one event after the other and carries out what it wants.
+struct EventLoop {
+    clock: Clock,
+    controller: Controller,
+    calls: calls::Calls,
+    links: HashMap<String, mpsc::Sender<Message>>,
+    /// Who waits for the answer to a request.
+    waiting: BTreeMap<u64, oneshot::Sender<Answer>>,
+    next_request: u64,
+}
+
+impl EventLoop {
+    async fn run(
+        mut self,
+        mut store_events: mpsc::Receiver<Event>,
+        mut urgent_events: mpsc::Receiver<Event>,
+        mut user_events: mpsc::Receiver<Event>,
+    ) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            // The state service first, then workers and peers, users last: a leader
+            // that falls behind must not lose its lease to reports, nor its workers
+            // to polls.
+            let event = tokio::select! {
+                biased;
+                _ = tick.tick() => Event::Input(Input::Tick),
+                Some(event) = store_events.recv() => event,
+                Some(event) = urgent_events.recv() => event,
+                Some(event) = user_events.recv() => event,
+            };
+            let input = self.input(event);
+            for output in self.controller.step(self.clock.now(), input) {
+                self.carry_out(output);
+            }
+        }
+    }
 
-    let clock = Clock { start: Instant::now() };
-    let (store, mut store_events) = mpsc::channel(QUEUE);
-    let calls = calls::Calls::new(&settings, urgent, store);
-    let mut controller = Controller::new(settings, policy, rand::random());
-    let mut waiting: BTreeMap<u64, oneshot::Sender<Answer>> = BTreeMap::new();
-    let mut next_request = 0u64;
-    let mut tick = tokio::time::interval(TICK);
-    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        // The state service first, then workers and peers, users last: an owner
-        // that falls behind must not lose its lease to reports, nor its workers
-        // to polls.
-        let event = tokio::select! {
-            biased;
-            _ = tick.tick() => Event::Input(Input::Tick),
-            Some(event) = store_events.recv() => event,
-            Some(event) = urgent_events.recv() => event,
-            Some(event) = user_events.recv() => event,
-        };
-        let mut expect = |reply| {
-            next_request += 1;
-            waiting.insert(next_request, reply);
-            next_request
-        };
-        let input = match event {
+    fn input(&mut self, event: Event) -> Input {
+        match event {
             Event::Ask { ask, reply } => Input::User {
-                request: expect(reply),
+                request: self.expect(reply),
                 ask,
             },
-            Event::Health { reply } => Input::Health { request: expect(reply) },
+            Event::Health { reply } => Input::Health {
+                request: self.expect(reply),
+            },
             Event::Report { report, reply } => Input::Report {
-                request: expect(reply),
+                request: self.expect(reply),
                 report,
             },
             Event::Input(input) => input,
-        };
-        for output in controller.step(clock.now(), input) {
-            match output {
-                Output::Answer { request, answer } => {
-                    if let Some(reply) = waiting.remove(&request) {
-                        // The asker may have gone; then nobody needs it.
-                        let _ = reply.send(answer);
-                    }
+        }
+    }
+
+    fn expect(&mut self, reply: oneshot::Sender<Answer>) -> u64 {
+        self.next_request += 1;
+        self.waiting.insert(self.next_request, reply);
+        self.next_request
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Answer { request, answer } => {
+                if let Some(reply) = self.waiting.remove(&request) {
+                    // The asker may have gone; then nobody needs it.
+                    let _ = reply.send(answer);
                 }
-                Output::Peer { node, message } => {
-                    // A full queue means a dead link; its messages are worth
-                    // nothing by the time it would take them.
-                    if let Some(link) = links.get(&node) {
-                        let _ = link.try_send(message);
-                    }
+            }
+            Output::Peer { node, message } => {
+                // A full queue means a dead link; its messages are worth
+                // nothing by the time it would take them.
+                if let Some(link) = self.links.get(&node) {
+                    let _ = link.try_send(message);
                 }
-                Output::Store { call, request } => calls.store(call, request),
-                Output::Cloud { call, request } => calls.cloud(call, request),
-                Output::Worker {
-                    call,
-                    address,
-                    commands,
-                } => calls.worker(call, address, commands),
             }
+            Output::Store { call, request } => self.calls.store(call, request),
+            Output::Cloud { call, request } => self.calls.cloud(call, request),
+            Output::Worker {
+                call,
+                address,
+                commands,
+            } => self.calls.worker(call, address, commands),
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -22,6 +22,31 @@
 const LEAST_MIRROR_AGE_MS: crate::Millis = 2_500;
 const MOST_MIRROR_AGE_MS: crate::Millis = 5_000;
 
+/// Memory that one connection takes at most while it is idle: the buffers of the
+/// HTTP library, its task and socket. Measured on this program with a thousand
+/// idle connections (docs/operations.md).
+const CONNECTION_BYTES: f64 = 20.0 * 1024.0;
+/// Part of the memory that connections may take.
+const CONNECTIONS_MEMORY_PART: f64 = 0.45;
+/// Parts of all connections: kept idle to workers, and with a command in flight.
+const KEPT_IDLE_PART: f64 = 0.24;
+const IN_FLIGHT_PART: f64 = 0.12;
+/// Connections to the state service, the cloud and the other controllers.
+const FIXED_CONNECTIONS: u32 = 40;
+/// Events waiting beside one report for each connection.
+const SPARE_EVENTS: usize = 1_024;
+
+/// How many connections may be open for each purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Connections {
+    /// From workers, users and health checks.
+    pub served: u32,
+    /// To workers, kept open between commands.
+    pub kept_idle: usize,
+    /// To workers, with a command in flight.
+    pub in_flight: usize,
+}
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
     pub node: String,
@@ -142,6 +167,27 @@
         crate::millis(rest_s).clamp(LEAST_MIRROR_AGE_MS, MOST_MIRROR_AGE_MS)
     }
 
+    /// How many connections the limits on sockets and memory allow.
+    pub fn connections(&self) -> Connections {
+        let limits = &self.params.limits;
+        let by_memory = limits.memory_mb * 1e6 * CONNECTIONS_MEMORY_PART / CONNECTION_BYTES;
+        let all = f64::from(limits.max_connections).min(by_memory);
+        let part = |part: f64| ((all * part) as usize).max(1);
+        let (kept_idle, in_flight) = (part(KEPT_IDLE_PART), part(IN_FLIGHT_PART));
+        let outgoing = (kept_idle + in_flight) as u32 + FIXED_CONNECTIONS.min(all as u32 / 4);
+        Connections {
+            served: (all as u32).saturating_sub(outgoing).max(1),
+            kept_idle,
+            in_flight,
+        }
+    }
+
+    /// Events that may wait for the controller: each connection has one report in
+    /// flight, and all workers report at once after an outage.
+    pub fn event_queue(&self) -> usize {
+        self.params.limits.max_connections as usize + SPARE_EVENTS
+    }
+
     /// What is odd but no reason not to start.
     pub fn warnings(&self) -> Vec<String> {
         let workers = &self.params.workers;
