Rank the machines once for all tasks of a job that are placed one after the other

A machine given a task stays the best for the job's next one until it is full, so one ranking serves all; the generated-input test compares it with the plain scan for every task.

--- a/src/placement/machine_view.rs
+++ b/src/placement/machine_view.rs
@@ -7,7 +7,8 @@
 use crate::ids::Ix;
 use crate::pipeline::Job;
 use crate::workers::Room;
-use std::collections::BTreeMap;
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BinaryHeap};
 
 #[derive(Debug)]
 struct Slot {
@@ -33,15 +34,70 @@
 /// At most one slot in so many is kept for jobs that would starve.
 const RESERVED_PART: usize = 8;
 
+/// How well a slot suits a job, by Algorithm 1: most of the input first; then cheap
+/// machines, the smallest type and the fullest machine, so that others fall idle and
+/// go back. Among equals the first place wins.
+#[derive(Clone, Copy, Debug)]
+struct Score {
+    holds: bool,
+    spot: bool,
+    type_cpus: f64,
+    free_cpus: f64,
+    place: Reverse<usize>,
+}
+
+impl Ord for Score {
+    fn cmp(&self, other: &Score) -> Ordering {
+        let kind = (self.holds, self.spot).cmp(&(other.holds, other.spot));
+        let smaller = other.type_cpus.total_cmp(&self.type_cpus);
+        let fuller = other.free_cpus.total_cmp(&self.free_cpus);
+        kind.then(smaller).then(fuller).then(self.place.cmp(&other.place))
+    }
+}
+
+impl PartialOrd for Score {
+    fn partial_cmp(&self, other: &Score) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Score {
+    fn eq(&self, other: &Score) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Score {}
+
+/// The slots with room for a job's tasks, ranked by one look at all machines.
+///
+/// A slot that is given a task is fuller than before and fetches the image, so it
+/// stays the best until it is full: the ranking holds for all tasks of the job that
+/// are placed one after the other.
+#[derive(Debug)]
+pub struct Ranking {
+    slots: BinaryHeap<Score>,
+    room: Room,
+    /// A slot holds the image but has no room.
+    holder_full: bool,
+}
+
 /// The best slot for a task, and what speaks for waiting.
-#[derive(Debug, Default, PartialEq)]
-pub struct Search {
-    pub best: Option<usize>,
-    pub best_holds: bool,
+#[derive(Debug, PartialEq)]
+pub struct Best {
+    pub place: usize,
+    pub holds: bool,
     /// A slot holds the image but has no room.
     pub holder_full: bool,
 }
 
+impl Ranking {
+    /// Leaves out the best slot, for the tasks that follow as well.
+    pub fn skip_best(&mut self) {
+        self.slots.pop();
+    }
+}
+
 impl MachineView {
     pub fn new(share: &Share, now: Millis) -> MachineView {
         let mut slots = Vec::with_capacity(share.machines.len());
@@ -69,37 +125,57 @@
         }
     }
 
-    /// Algorithm 1: most of the input first; then cheap machines, the smallest
-    /// type and the fullest machine, so that others fall idle and go back.
-    pub fn search(&mut self, share: &Share, job: &Job, zones: &Option<Vec<Ix>>, avoid: &[Ix]) -> Search {
+    /// Ranks the slots that the job may use and that have room for one of its tasks.
+    pub fn rank(&mut self, share: &Share, job: &Job, zones: &Option<Vec<Ix>>) -> Ranking {
         let holders = self.holders.entry(job.image).or_insert_with(|| {
             let machines = self.slots.iter().map(|slot| share.machines.get(slot.machine));
             machines
                 .map(|machine| machine.is_some_and(|machine| machine.holds(job.image)))
                 .collect()
         });
-        let mut search = Search::default();
-        let mut best_score = None;
+        let mut ranked = Vec::new();
+        let mut holder_full = false;
         for (place, (slot, &holds)) in self.slots.iter().zip(holders.iter()).enumerate() {
             if !job.shape.allows(slot.type_ix, slot.zone, slot.spot)
                 || zones.as_ref().is_some_and(|zones| !zones.contains(&slot.zone))
                 || job.failed_on.contains(&slot.machine)
-                || avoid.contains(&slot.machine)
             {
                 continue;
             }
             if slot.reserved || !slot.free.fits(job.shape.room) {
-                search.holder_full |= holds;
+                holder_full |= holds;
                 continue;
             }
-            let score = (holds, slot.spot, -slot.type_cpus, -slot.free.cpus);
-            if best_score.is_none_or(|other| score > other) {
-                best_score = Some(score);
-                search.best = Some(place);
-                search.best_holds = holds;
+            ranked.push(Score {
+                holds,
+                spot: slot.spot,
+                type_cpus: slot.type_cpus,
+                free_cpus: slot.free.cpus,
+                place: Reverse(place),
+            });
+        }
+        Ranking {
+            slots: ranked.into(),
+            room: job.shape.room,
+            holder_full,
+        }
+    }
+
+    /// The best slot of a ranking now, after what was placed by it.
+    pub fn best(&self, ranking: &mut Ranking, image: Ix) -> Option<Best> {
+        let holds = |place: usize| self.holders.get(&image).is_some_and(|holders| holders[place]);
+        loop {
+            let Reverse(place) = ranking.slots.peek()?.place;
+            if self.slots[place].free.fits(ranking.room) {
+                return Some(Best {
+                    place,
+                    holds: holds(place),
+                    holder_full: ranking.holder_full,
+                });
             }
+            ranking.holder_full |= holds(place);
+            ranking.slots.pop();
         }
-        search
     }
 
     /// Takes room at a place; gives its machine.
--- a/src/placement/machine_view/tests.rs
+++ b/src/placement/machine_view/tests.rs
@@ -37,7 +37,17 @@
     best.map(|(_, ix)| ix)
 }
 
+/// A machine that the job may use holds its image and has no room for its task.
+fn holder_is_full(share: &Share, job: &Job) -> bool {
+    share.machines.iter().any(|(_, machine)| {
+        let info = share.type_info[machine.type_ix as usize].as_ref().expect("known");
+        let allowed = job.shape.allows(machine.type_ix, machine.zone, machine.spot);
+        allowed && machine.holds(job.image) && !info.room.less(machine.used).fits(job.shape.room)
+    })
+}
+
 proptest! {
+    /// One ranking serves all tasks that are placed one after the other.
     #[test]
     fn the_view_chooses_what_the_plain_scan_chooses(
         machines in proptest::collection::vec(
@@ -47,13 +57,15 @@
     ) {
         let (mut share, job_ix) = share(&machines);
         let mut view = MachineView::new(&share, 0);
+        let mut ranking = view.rank(&share, share.jobs.get(job_ix).expect("there"), &None);
         for _ in 0..tasks {
             let job = share.jobs.get(job_ix).expect("there");
             let expected = plain_scan(&share, job);
             let (room, image) = (job.shape.room, job.image);
-            let found = view.search(&share, job, &None, &[]);
-            prop_assert_eq!(found.best.map(|place| view.machine_at(place)), expected);
-            let Some(place) = found.best else {
+            let found = view.best(&mut ranking, image);
+            prop_assert_eq!(found.as_ref().map(|best| view.machine_at(best.place)), expected);
+            prop_assert!(found.as_ref().is_none_or(|best| best.holder_full == holder_is_full(&share, job)));
+            let Some(Best { place, .. }) = found else {
                 break;
             };
             view.note_image(place, image);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -10,7 +10,7 @@
 use crate::pipeline::Job;
 use crate::wire::Priority;
 use crate::workers::{Attempt, Room, split_task};
-use machine_view::MachineView;
+use machine_view::{MachineView, Ranking};
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
@@ -103,82 +103,116 @@
     NoRoom,
 }
 
+/// One round of placement.
+struct Round {
+    now: Millis,
+    view: MachineView,
+    /// Teams whose limit is kept for a job that would else never get its turn.
+    held_teams: Vec<bool>,
+    /// Attempts that may still be planned.
+    left: usize,
+}
+
 impl Share {
     /// Plans attempts for released tasks. They start once they are written.
     pub fn place(&mut self, now: Millis) {
-        let mut planned = 0;
-        let mut view = MachineView::new(self, now);
-        let mut held = vec![false; self.teams_use.len()];
+        let mut round = Round {
+            now,
+            view: MachineView::new(self, now),
+            held_teams: vec![false; self.teams_use.len()],
+            left: ROUND,
+        };
         // What would starve gets one task each before all others, and is then
         // back in its place.
-        let starving = self.starving_jobs().into_iter().map(|ix| (ix, true));
-        let order: Vec<_> = starving
-            .chain(self.placement_order().into_iter().map(|ix| (ix, false)))
-            .collect();
-        for (ix, starving) in order {
-            // Machines that still list an earlier attempt of its next task: a start
-            // of that one may be on its way there, and does nothing only while it
-            // is listed.
-            let mut listing = Vec::new();
-            loop {
-                if planned >= ROUND {
-                    return;
-                }
-                let Some(job) = self.jobs.get_mut(ix) else {
-                    break;
-                };
-                if job.fails_everywhere() && !job.open.is_empty() {
-                    // Tried again alone, for as long as its user lets it.
-                    break;
-                }
-                let Some(task) = job.peek(now) else {
-                    break;
-                };
-                let room = job.shape.room;
-                let (team, job_image) = (job.team, job.image);
-                let pressing = starving || job.old(self.wall);
-                if held[team as usize] || !self.teams_use[team as usize].may_add(room) {
-                    // Small tasks would for ever use up what the team's limit
-                    // leaves, and never leave it enough.
-                    held[team as usize] |= pressing;
-                    break;
-                }
-                let choice = self.choose(now, ix, &listing, &mut view);
-                self.note_short(now, ix, &choice);
-                match choice {
-                    Choice::Place(slot) if self.lists_earlier(view.machine_at(slot), ix, task) => {
-                        listing.push(view.machine_at(slot));
-                    }
-                    Choice::Place(slot) => {
-                        listing.clear();
-                        view.note_image(slot, job_image);
-                        self.open_attempt(ix, task, view.take(slot, room));
-                        planned += 1;
-                        if starving {
-                            break;
-                        }
+        for ix in self.starving_jobs() {
+            self.place_job(ix, true, 1, &mut round);
+        }
+        for ix in self.placement_order() {
+            if round.left == 0 {
+                return;
+            }
+            self.place_job(ix, false, usize::MAX, &mut round);
+        }
+    }
+
+    /// Places tasks of one job, up to `most`, until it finds no room.
+    fn place_job(&mut self, ix: Ix, starving: bool, most: usize, round: &mut Round) {
+        let mut ranking = None;
+        // Whether the ranking leaves out machines that list an earlier attempt of
+        // the next task: a start of that one may be on its way there, and does
+        // nothing only while it is listed.
+        let mut skipped = false;
+        let mut placed = 0;
+        while placed < most && round.left > 0 {
+            let Some(job) = self.jobs.get_mut(ix) else {
+                return;
+            };
+            if job.fails_everywhere() && !job.open.is_empty() {
+                // Tried again alone, for as long as its user lets it.
+                return;
+            }
+            let Some(task) = job.peek(round.now) else {
+                return;
+            };
+            let (room, team, image) = (job.shape.room, job.team as usize, job.image);
+            let pressing = starving || job.old(self.wall);
+            if round.held_teams[team] || !self.teams_use[team].may_add(room) {
+                // Small tasks would for ever use up what the team's limit
+                // leaves, and never leave it enough.
+                round.held_teams[team] |= pressing;
+                return;
+            }
+            let choice = self.choose(ix, &mut ranking, skipped, round);
+            self.note_short(round.now, ix, &choice);
+            match choice {
+                Choice::Place(place) if self.lists_earlier(round.view.machine_at(place), ix, task) => {
+                    if let Some(ranking) = &mut ranking {
+                        ranking.skip_best();
                     }
-                    Choice::Wait => {
-                        if let Some(job) = self.jobs.get_mut(ix) {
-                            job.waiting_since.get_or_insert(now);
-                        }
-                        break;
+                    skipped = true;
+                }
+                Choice::Place(place) => {
+                    round.view.note_image(place, image);
+                    let machine = round.view.take(place, room);
+                    self.open_attempt(ix, task, machine);
+                    if skipped || self.is_bound_to_zones(ix) {
+                        ranking = None;
+                        skipped = false;
                     }
-                    Choice::NoRoom => {
-                        if let Some(job) = self.jobs.get_mut(ix) {
-                            job.forgive(now);
-                            // Small tasks would fill for ever what it needs whole.
-                            if pressing {
-                                view.reserve(&job.shape);
-                            }
-                        }
-                        break;
+                    round.left -= 1;
+                    placed += 1;
+                }
+                Choice::Wait => {
+                    if let Some(job) = self.jobs.get_mut(ix) {
+                        job.waiting_since.get_or_insert(round.now);
                     }
+                    return;
+                }
+                Choice::NoRoom => {
+                    self.found_no_room(ix, pressing, round);
+                    return;
                 }
             }
         }
     }
 
+    fn found_no_room(&mut self, ix: Ix, pressing: bool, round: &mut Round) {
+        if let Some(job) = self.jobs.get_mut(ix) {
+            job.forgive(round.now);
+            // Small tasks would fill for ever what it needs whole.
+            if pressing {
+                round.view.reserve(&job.shape);
+            }
+        }
+    }
+
+    /// Whether the zones open to a job depend on where its tasks are.
+    fn is_bound_to_zones(&self, ix: Ix) -> bool {
+        self.jobs
+            .get(ix)
+            .is_some_and(|job| job.spec.one_zone || job.spec.spread)
+    }
+
     /// Whether a machine still lists an earlier attempt of this task.
     fn lists_earlier(&self, machine: Ix, job: Ix, task: u32) -> bool {
         let (Some(machine), Some(job)) = (self.machines.get(machine), self.jobs.get(job)) else {
@@ -251,32 +285,38 @@
         order.into_iter().map(|(.., ix)| ix).collect()
     }
 
-    fn choose(&self, now: Millis, ix: Ix, avoid: &[Ix], view: &mut MachineView) -> Choice {
+    /// Where the next task of a job goes. `ranking`: made when there is none.
+    /// `skipped`: it leaves out machines that only this task can't use.
+    fn choose(&self, ix: Ix, ranking: &mut Option<Ranking>, skipped: bool, round: &mut Round) -> Choice {
+        let view = &mut round.view;
         let Some(job) = self.jobs.get(ix) else {
             return Choice::NoRoom;
         };
         if view.is_full_for(&job.shape) {
             return Choice::NoRoom;
         }
-        let zones = self.zones_open_to(job);
-        let search = view.search(self, job, &zones, avoid);
-        let Some(best) = search.best else {
+        let ranking = match ranking {
+            Some(ranking) => ranking,
+            None => ranking.insert(view.rank(self, job, &self.zones_open_to(job))),
+        };
+        let Some(best) = view.best(ranking, job.image) else {
             // Other jobs of this shape need not look, unless it was only this
             // one that could not use what there is.
-            if zones.is_none() && job.failed_on.is_empty() && avoid.is_empty() {
+            if !self.is_bound_to_zones(ix) && job.failed_on.is_empty() && !skipped {
                 view.note_full(&job.shape);
             }
             return Choice::NoRoom;
         };
-        if search.best_holds || !search.holder_full {
-            return Choice::Place(best);
+        if best.holds || !best.holder_full {
+            return Choice::Place(best.place);
         }
+        let best = best.place;
         let fetch_s = self.type_info[view.type_of(best) as usize]
             .as_ref()
             .map_or(0.0, |info| job.spec.image_gb / info.fetch_gb_per_s.max(0.001));
         // Waiting longer than the fetch that it saves gains nothing.
         let patience = crate::millis(self.policy.locality_wait_s.min(fetch_s));
-        let waited = job.waiting_since.map_or(0, |since| now.saturating_sub(since));
+        let waited = job.waiting_since.map_or(0, |since| round.now.saturating_sub(since));
         if waited < patience {
             Choice::Wait
         } else {
