--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -134,7 +134,7 @@
                         conditions: vec![self.ownership.condition(&self.keys)],
                         changes: vec![Change::put(self.keys.catalogue(), value)],
                     };
-                    self.enqueue(Purpose::Catalogue, StoreRequest::Transact(transaction));
+                    self.enqueue(Purpose::Catalogue, StoreRequest::Transact(transaction.into()));
                 }
                 self.set_catalogue(catalogue);
             }
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -9,6 +9,7 @@
 use crate::wire::{Change, DirectCommands, Report, ReportAnswer, Transaction};
 use crate::workers::{Merged, Path};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 const PLACE_EVERY_MS: Millis = 25;
 const PLACE_ANYWAY_MS: Millis = 400;
@@ -18,6 +19,8 @@
 const COMMIT_ANYWAY_MS: Millis = 150;
 /// Longer than any call to a worker takes.
 const PUSH_PATIENCE_MS: Millis = 5_000;
+/// Commands that come up close together go out together.
+const PUSH_EVERY_MS: Millis = 50;
 const COUNTS_EVERY_MS: Millis = 1_000;
 /// Raising the term costs a fresh start, so not more often than this.
 const RECLAIM_EVERY_MS: Millis = 8_000;
@@ -78,7 +81,7 @@
         }
     }
 
-    pub(super) fn claim_answered(&mut self, transaction: Transaction, sent: Millis, reply: StoreReply) {
+    pub(super) fn claim_answered(&mut self, transaction: Arc<Transaction>, sent: Millis, reply: StoreReply) {
         if self.ownership.phase != Phase::Claiming {
             return;
         }
@@ -327,7 +330,7 @@
                 changes: vec![Change::delete(self.keys.owner())],
             };
             self.follow(ISOLATED_HOLD_OFF_MS);
-            self.enqueue(Purpose::Resign, StoreRequest::Transact(transaction));
+            self.enqueue(Purpose::Resign, StoreRequest::Transact(transaction.into()));
             return;
         }
         if self.reclaim() {
@@ -413,7 +416,11 @@
     fn commit(&mut self) {
         let pressing = self.share.as_ref().is_some_and(|share| share.starts_wait());
         let due = pressing || self.now >= self.committed_at + COMMIT_ANYWAY_MS;
-        if !due || self.raising || !self.writes.ready(self.now) || !self.requests.ready(self.now) {
+        let in_flight = self
+            .share
+            .as_ref()
+            .is_some_and(|share| share.ledger.in_flight.is_some());
+        if !due || in_flight || self.raising || !self.writes.ready(self.now) || !self.requests.ready(self.now) {
             return;
         }
         self.committed_at = self.now;
@@ -499,6 +506,10 @@
     }
 
     fn push_commands(&mut self) {
+        if self.now < self.pushed_at + PUSH_EVERY_MS {
+            return;
+        }
+        self.pushed_at = self.now;
         let (now, term) = (self.now, self.ownership.term);
         let mut room = self.most_pushes().saturating_sub(self.pushes.len());
         let Some(share) = &mut self.share else {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -21,6 +21,7 @@
 use crate::wire::{Catalogue, DirectCommands, HireRequest, JobSpec, MachineList, MachineNames, Report, Transaction};
 use crate::{Millis, Now};
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 /// Team limits and preemption span all teams on a pool of machines, so all
 /// that compete for it form one share.
@@ -101,7 +102,7 @@
 enum Purpose {
     Grant,
     Claim {
-        transaction: Transaction,
+        transaction: Arc<Transaction>,
         sent: Millis,
     },
     Renew {
@@ -181,6 +182,7 @@
     cloud: cloud::Calls,
     /// Direct commands in flight.
     pushes: BTreeMap<u64, leader::DirectCall>,
+    pushed_at: Millis,
     next_path: usize,
     claimed_at: Millis,
     worker_heard_at: Millis,
@@ -244,6 +246,7 @@
             store_asked_at: 0,
             cloud: cloud::Calls::new(settings.params.cloud.rps * 0.7),
             pushes: BTreeMap::new(),
+            pushed_at: 0,
             next_path: 0,
             claimed_at: 0,
             worker_heard_at: 0,
@@ -408,6 +411,7 @@
     }
 
     fn send_claim(&mut self, transaction: Transaction) {
+        let transaction = Arc::new(transaction);
         self.enqueue(
             Purpose::Claim {
                 transaction: transaction.clone(),
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -200,7 +200,7 @@
     controller.ownership.phase = Phase::Active;
     let (_, own_before, users_before) = controller.budget();
     let transaction = Transaction::default();
-    controller.enqueue(Purpose::Write(1), StoreRequest::Transact(transaction));
+    controller.enqueue(Purpose::Write(1), StoreRequest::Transact(transaction.into()));
     let (_, own, users) = controller.budget();
     assert!(users > 2.0 * users_before && own < own_before);
     assert!(own + users <= own_before + users_before + 1e-9, "no more in all");
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -16,6 +16,7 @@
 use serde::Deserialize;
 use serde_json::json;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
 
 /// Questions in hand at once; more are turned away at once.
 const MAX_OPS: usize = 400;
@@ -42,7 +43,7 @@
     /// The key of its end is being read.
     End,
     /// A create-once write is in flight.
-    Write(Transaction),
+    Write(Arc<Transaction>),
     /// Another controller was asked.
     Forwarded { node: String, until: Millis },
 }
@@ -68,7 +69,7 @@
     },
     Write {
         op: u64,
-        transaction: Transaction,
+        transaction: Arc<Transaction>,
     },
     Forward {
         op: u64,
@@ -196,6 +197,7 @@
                         changes: vec![Change::put(context.keys.job(&op.id), json!(value))],
                     };
                     transaction.conditions.extend(context.claim.clone());
+                    let transaction = Arc::new(transaction);
                     op.stage = Stage::Write(transaction.clone());
                     return vec![Want::Write { op: op_id, transaction }];
                 }
@@ -270,6 +272,7 @@
             ],
         };
         transaction.conditions.extend(context.claim.clone());
+        let transaction = Arc::new(transaction);
         op.stage = Stage::Write(transaction.clone());
         vec![Want::Write { op: op_id, transaction }]
     }
--- a/src/pipeline/ledger.rs
+++ b/src/pipeline/ledger.rs
@@ -14,6 +14,7 @@
 use crate::workers::Outcome;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 /// How often a chunk is written again for what nobody waits for.
 const REWRITE_MS: Millis = 1_500;
@@ -39,7 +40,7 @@
 /// The transaction in flight and what it stands for.
 #[derive(Debug, Default)]
 pub struct InFlight {
-    pub transaction: Transaction,
+    pub transaction: Arc<Transaction>,
     /// An earlier copy went unanswered and may have been applied.
     pub uncertain: bool,
     pub sent: Millis,
@@ -121,7 +122,7 @@
         claim: Condition,
         max_ops: usize,
         spare: usize,
-    ) -> Option<Transaction> {
+    ) -> Option<Arc<Transaction>> {
         if self.ledger.in_flight.is_some() {
             return None;
         }
@@ -160,9 +161,10 @@
         if draft.transaction.changes.is_empty() {
             return None;
         }
-        flight.transaction = draft.transaction.clone();
+        let transaction = Arc::new(draft.transaction);
+        flight.transaction = transaction.clone();
         self.ledger.in_flight = Some(flight);
-        Some(draft.transaction)
+        Some(transaction)
     }
 
     fn draft_finished(&mut self, keys: &Keys, draft: &mut Draft, flight: &mut InFlight) {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -9,16 +9,27 @@
 
 use crate::wire::{Entry, Log, Page, Transaction};
 use serde_json::Value;
+use std::sync::Arc;
 
 /// A request to the state service.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreRequest {
     Get(String),
-    List { prefix: String, after: String },
-    Transact(Transaction),
-    Grant { ttl_ms: u64 },
+    List {
+        prefix: String,
+        after: String,
+    },
+    /// Shared, since it is kept until it is answered and may be sent again.
+    Transact(Arc<Transaction>),
+    Grant {
+        ttl_ms: u64,
+    },
     Renew(u64),
-    Watch { prefix: String, since: u64, wait_ms: u64 },
+    Watch {
+        prefix: String,
+        since: u64,
+        wait_ms: u64,
+    },
 }
 
 impl StoreRequest {
--- a/src/workers/merge/tests.rs
+++ b/src/workers/merge/tests.rs
@@ -440,3 +440,50 @@
     share.plan_fleet(500_000);
     assert!(!share.machines.get(machine).expect("there").condemned);
 }
+
+/// Guards against a report more for every task that ends: told to forget it, a
+/// worker reports that its tasks have changed.
+#[test]
+fn ended_tasks_are_forgotten_together_or_beside_another_command() {
+    let (mut share, machine) = share_of(20);
+    let forgets = |share: &mut Share| {
+        let commands = share.commands(MINUTE, machine);
+        let forgets = commands.iter().filter(|c| matches!(c, Command::Forget { .. }));
+        (forgets.count(), commands.len())
+    };
+    let ended = |count: u32| -> Vec<TaskReport> {
+        let ended = (0..count).map(|number| TaskReport {
+            task: format!("j-gone/{number}"),
+            ..task(TaskState::Exited, Some(Why::Done))
+        });
+        ended.chain([task(TaskState::Running, None)]).collect()
+    };
+    let running = share.machines.get(machine).expect("there").open.clone();
+    for &attempt in &running[1..] {
+        share.close(0, attempt, Outcome::Lost);
+    }
+    share.merge_report(MINUTE, &report(1, 2, 5, ended(1)), Path::Sent);
+    assert_eq!(forgets(&mut share), (0, 0));
+    share.merge_report(MINUTE, &report(1, 3, 5, ended(FORGET_TOGETHER as u32)), Path::Sent);
+    assert_eq!(forgets(&mut share), (FORGET_TOGETHER, FORGET_TOGETHER));
+    share.merge_report(MINUTE, &report(1, 4, 5, ended(1)), Path::Sent);
+    share.attempts.get_mut(running[0]).expect("open").stop = Some(0.0);
+    assert_eq!(forgets(&mut share), (1, 2));
+}
+
+/// Guards against a task that waits beside the only machine that fits, because that
+/// still lists an earlier attempt of it.
+#[test]
+fn a_task_that_may_run_again_is_forgotten_at_once() {
+    let (mut share, machine) = share();
+    let failed = task(TaskState::Exited, Some(Why::Error));
+    share.merge_report(MINUTE, &report(1, 2, 5, vec![failed.clone()]), Path::Sent);
+    let job = share.jobs.find("j-1").expect("known");
+    let job = share.jobs.get_mut(job).expect("there");
+    for chunk in &mut job.chunks {
+        chunk.dirty = false;
+    }
+    share.merge_report(MINUTE, &report(1, 3, 5, vec![failed]), Path::Sent);
+    let commands = share.commands(MINUTE, machine);
+    assert!(matches!(commands[..], [Command::Forget { .. }]), "{commands:?}");
+}
