Look at one key after a transaction without an answer, not at everything

Now one key that it writes and nobody else changes is read: at the version that was required it was not carried out and never will be, with the written value it was, at that revision; anything else ends in a read of everything as before.

--- /dev/null
+++ b/src/controller/commits/tests.rs
@@ -0,0 +1,153 @@
+use super::super::{Output, Phase, share_with};
+use super::*;
+use crate::policy::Policy;
+use crate::settings::{Settings, tests::SAMPLE};
+use crate::wire::Standing;
+
+const START: Millis = 1_000_000;
+
+/// A leader with one machine and one job, whose first firing went unanswered and
+/// was sent again. Gives the call of the second copy as well.
+fn leader_with_an_unanswered_firing() -> (Controller, u64) {
+    let settings = Settings::parse(SAMPLE).expect("valid settings");
+    let mut controller = Controller::new(settings, Policy::default(), 7);
+    let mut share = share_with(3, &[("small", 8.0)], 1, true);
+    let machine = share.add_machine(0, "host-1", "small", "north", true);
+    let machine = share.machines.get_mut(machine).expect("there");
+    machine.written = true;
+    machine.heard_at = Some(START);
+    machine.report_due = Millis::MAX;
+    share.roster.urgent.clear();
+    share.place(START);
+    controller.now = START;
+    controller.share = Some(share);
+    controller.ownership.phase = Phase::Active;
+    controller.commit();
+    controller.send_queued();
+    let first = sent(&std::mem::take(&mut controller.outputs), true);
+    step(&mut controller, first, StoreReply::Lost);
+    controller.now += RETRY_MS;
+    controller.send_queued();
+    let second = sent(&std::mem::take(&mut controller.outputs), true);
+    (controller, second)
+}
+
+/// The call of a transaction, or of a read of one key.
+fn sent(outputs: &[Output], transaction: bool) -> u64 {
+    let call = outputs.iter().find_map(|output| match output {
+        Output::Store { call, request } => match request {
+            StoreRequest::Transact(_) if transaction => Some(*call),
+            StoreRequest::Get(key) if !transaction && *key == "kept/pool/firing/j-1/0" => Some(*call),
+            _ => None,
+        },
+        _ => None,
+    });
+    call.expect("sent")
+}
+
+fn step(controller: &mut Controller, call: u64, reply: StoreReply) {
+    controller.store_reply(call, reply);
+}
+
+/// The second copy conflicts on that key; gives the call of the look at it.
+fn conflict(controller: &mut Controller, second: u64, key: &str) -> u64 {
+    let failed = vec![key.to_owned()];
+    step(controller, second, StoreReply::Conflict { failed });
+    controller.send_queued();
+    sent(&std::mem::take(&mut controller.outputs), false)
+}
+
+fn firing_in_flight(controller: &Controller) -> Value {
+    let flight = controller
+        .share
+        .as_ref()
+        .and_then(|share| share.ledger.in_flight.as_ref());
+    let changes = &flight.expect("in flight").transaction.changes;
+    let value = changes.iter().find_map(|change| match change {
+        Change::Put { put, value, .. } if put.contains("firing") => Some(value.clone()),
+        _ => None,
+    });
+    value.expect("a firing")
+}
+
+fn chunk_version(controller: &Controller) -> u64 {
+    let share = controller.share.as_ref().expect("leads");
+    let job = share.jobs.find("j-1").and_then(|ix| share.jobs.get(ix));
+    job.expect("known").chunks[0].version
+}
+
+fn in_flight(controller: &Controller) -> bool {
+    controller
+        .share
+        .as_ref()
+        .is_some_and(|share| share.ledger.in_flight.is_some())
+}
+
+/// Guards against a read of everything under a new term for each transaction
+/// without an answer (late-leaders of bks-mealkit-host-hunt).
+#[test]
+fn a_transaction_that_was_carried_out_without_an_answer_counts_as_committed() {
+    let (mut controller, second) = leader_with_an_unanswered_firing();
+    let value = firing_in_flight(&controller);
+    let look = conflict(&mut controller, second, "kept/pool/firing/j-1/0");
+    step(&mut controller, look, StoreReply::Found { value, version: 12 });
+    assert!(!in_flight(&controller) && !controller.reclaim_wanted);
+    assert_eq!(chunk_version(&controller), 12);
+    let share = controller.share.as_ref().expect("leads");
+    assert!(share.attempts.iter().all(|(_, attempt)| attempt.written));
+}
+
+#[test]
+fn a_transaction_that_never_was_and_never_will_be_carried_out_is_drafted_anew() {
+    let (mut controller, second) = leader_with_an_unanswered_firing();
+    let look = conflict(&mut controller, second, "live/pool/job/j-1");
+    step(&mut controller, look, StoreReply::Missing);
+    assert!(!in_flight(&controller) && !controller.reclaim_wanted);
+    let share = controller.share.as_ref().expect("leads");
+    assert!(share.starts_wait());
+    assert!(share.attempts.iter().all(|(_, attempt)| !attempt.written));
+}
+
+#[test]
+fn everything_is_read_again_where_the_key_is_as_nobody_wrote_it() {
+    let (mut controller, second) = leader_with_an_unanswered_firing();
+    let look = conflict(&mut controller, second, "kept/pool/firing/j-1/0");
+    let value = serde_json::json!({"next": 9, "done": "", "open": []});
+    step(&mut controller, look, StoreReply::Found { value, version: 12 });
+    assert!(controller.reclaim_wanted);
+}
+
+#[test]
+fn the_look_is_repeated_until_it_is_answered() {
+    let (mut controller, second) = leader_with_an_unanswered_firing();
+    let look = conflict(&mut controller, second, "kept/pool/firing/j-1/0");
+    step(&mut controller, look, StoreReply::Lost);
+    assert!(in_flight(&controller));
+    controller.now += RETRY_MS;
+    controller.send_queued();
+    let again = sent(&std::mem::take(&mut controller.outputs), false);
+    step(&mut controller, again, StoreReply::Missing);
+    assert!(!in_flight(&controller) && !controller.reclaim_wanted);
+}
+
+/// A cancelled job's key is changed by others, so it is no evidence.
+#[test]
+fn evidence_is_a_key_of_the_leader_alone() {
+    let put = |key: &str| Change::put(key, serde_json::json!({ "state": Standing::Done }));
+    let condition = |key: &str, version| crate::wire::Condition {
+        key: key.into(),
+        version,
+    };
+    let mut transaction = Transaction {
+        conditions: vec![condition("live/job/j-1", 4), condition("kept/hire/r", 6)],
+        changes: vec![put("live/job/j-1"), Change::delete("kept/hire/r")],
+    };
+    let evidence = Evidence::of(&transaction, "live/job/").expect("the hire");
+    assert_eq!((evidence.key.as_str(), evidence.before), ("kept/hire/r", 6));
+    assert_eq!(evidence.verdict(&StoreReply::Missing), Verdict::Applied { revision: 0 });
+    transaction.changes.push(put("kept/end/j-1"));
+    transaction.conditions.push(condition("kept/end/j-1", 0));
+    let evidence = Evidence::of(&transaction, "live/job/").expect("the end");
+    assert_eq!(evidence.key, "kept/end/j-1");
+    assert_eq!(evidence.verdict(&StoreReply::Missing), Verdict::NotApplied);
+}
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -15,8 +15,6 @@
 const PLACE_ANYWAY_MS: Millis = 400;
 /// How often all machines are looked over for what time alone has changed.
 const MAINTENANCE_EVERY_MS: Millis = 200;
-/// How often what nobody waits for is written.
-const COMMIT_ANYWAY_MS: Millis = 150;
 /// Longer than any call to a worker takes.
 const PUSH_PATIENCE_MS: Millis = 5_000;
 /// Commands that come up close together go out together.
@@ -413,92 +411,6 @@
         true
     }
 
-    fn commit(&mut self) {
-        let pressing = self.share.as_ref().is_some_and(|share| share.starts_wait());
-        let due = pressing || self.now >= self.committed_at + COMMIT_ANYWAY_MS;
-        let in_flight = self
-            .share
-            .as_ref()
-            .is_some_and(|share| share.ledger.in_flight.is_some());
-        if !due || in_flight || self.raising || !self.writes.ready(self.now) || !self.requests.ready(self.now) {
-            return;
-        }
-        self.committed_at = self.now;
-        let claim = self.ownership.condition(&self.keys);
-        let max_ops = self.settings.params.state.txn_ops as usize;
-        let spare = (self.writes.level(self.now) as usize).max(1);
-        let Some(share) = &mut self.share else {
-            return;
-        };
-        if let Some(transaction) = share.next_transaction(self.now, &self.keys, claim, max_ops, spare) {
-            self.enqueue(Purpose::Commit, StoreRequest::Transact(transaction));
-        }
-    }
-
-    pub(super) fn commit_answered(&mut self, request: &StoreRequest, reply: StoreReply) {
-        let Some(share) = &mut self.share else {
-            return;
-        };
-        match reply {
-            StoreReply::Committed { revision } => {
-                let committed = share.committed(self.now, &self.keys, revision);
-                share.to_push.extend(committed.push);
-                for (value, version) in committed.hires {
-                    share.fleet.hires.push(crate::fleet::Hire {
-                        value,
-                        version,
-                        in_flight: false,
-                        not_before: 0,
-                    });
-                }
-                // A cancel may have come while this was written.
-                share.drop_unwritten(self.now);
-                self.place_wanted = true;
-            }
-            StoreReply::Conflict { failed } => {
-                let uncertain = share.ledger.in_flight.as_ref().is_some_and(|flight| flight.uncertain);
-                if self.check_claim_in(request, &failed) {
-                    return;
-                }
-                let (jobs, ends) = (self.keys.jobs(), self.keys.ends());
-                let cancelled = failed
-                    .iter()
-                    .all(|key| key.starts_with(&jobs) || key.starts_with(&ends));
-                let Some(share) = &mut self.share else {
-                    return;
-                };
-                share.not_applied();
-                if uncertain || !cancelled {
-                    // What is written is not what was thought: read it all again.
-                    tracing::warn!(?failed, uncertain, "a write conflicted; reading everything again");
-                    self.reclaim_wanted = true;
-                    self.reclaimed_at = 0;
-                } else {
-                    // A cancel was faster. The mirror will say so.
-                    tracing::debug!(?failed, "a job ended while its tasks were placed");
-                    self.sync(0);
-                }
-            }
-            StoreReply::Lost | StoreReply::Unavailable => {
-                let lost = reply == StoreReply::Lost;
-                let Some(flight) = &mut share.ledger.in_flight else {
-                    return;
-                };
-                flight.uncertain |= lost;
-                let request = StoreRequest::Transact(flight.transaction.clone());
-                self.queue.push_back(super::Queued {
-                    purpose: Purpose::Commit,
-                    request,
-                    not_before: self.now + 200,
-                });
-            }
-            other => {
-                tracing::error!(?other, "a write was refused");
-                self.reclaim_wanted = true;
-            }
-        }
-    }
-
     /// Direct commands in flight at once: half of what all other controllers would
     /// hold, so that one of them has room for more than its part.
     fn most_pushes(&self) -> usize {
@@ -740,6 +652,11 @@
 fn owners(purpose: &Purpose) -> bool {
     matches!(
         purpose,
-        Purpose::Load(_) | Purpose::Commit | Purpose::CheckClaim | Purpose::Renew { .. } | Purpose::Claim { .. }
+        Purpose::Load(_)
+            | Purpose::Commit
+            | Purpose::CheckCommit(_)
+            | Purpose::CheckClaim
+            | Purpose::Renew { .. }
+            | Purpose::Claim { .. }
     )
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -3,6 +3,7 @@
 //! answer; it does no I/O and has no clock or randomness of its own.
 
 mod cloud;
+mod commits;
 mod follower;
 mod leader;
 mod share;
@@ -119,6 +120,8 @@
     },
     Load(Loading),
     Commit,
+    /// Whether the transaction in flight was carried out.
+    CheckCommit(commits::Evidence),
     ReadEnd(u64),
     Write(u64),
     Catalogue,
@@ -552,6 +555,7 @@
             }
             Purpose::Load(part) => self.load_answered(part, request, reply),
             Purpose::Commit => self.commit_answered(request, reply),
+            Purpose::CheckCommit(evidence) => self.commit_checked(evidence, &reply),
             Purpose::ReadEnd(op) => {
                 let wants = self.intake.end_read(op, &reply);
                 self.carry_out(wants);
