Bound unfinished work by memory, take the other bounds from the settings

No fixed limit stands below the size of a fleet any more: 20,000 machines by default, as many queued requests to the state service as its rate takes in three seconds, redirected workers forgotten by age, counts of 20,000 jobs. Unfinished jobs are admitted up to a quarter of the memory, counted by what tests/memory.rs holds a job and its tasks to; beyond that the answer is 503 with Retry-After.

--- /dev/null
+++ b/benches/costs.rs
@@ -0,0 +1,3 @@
+fn main() {
+    divan::main();
+}
--- a/src/controller/follower.rs
+++ b/src/controller/follower.rs
@@ -13,7 +13,8 @@
 /// A worker back so soon after being sent on can't use that controller.
 const BACK_SOON_MS: Millis = 25_000;
 const STAY_MS: Millis = 60_000;
-const MAX_REDIRECTED: usize = 5_000;
+/// How often workers sent on long ago are forgotten.
+const FORGET_REDIRECTED_MS: Millis = 10_000;
 /// How often reports are relayed to the leader and replies returned to it. A frame
 /// costs the leader more than most of what it holds.
 const RELAY_EVERY_MS: Millis = 100;
@@ -29,6 +30,13 @@
     stays_until: Millis,
 }
 
+impl RedirectedWorker {
+    /// Whether it still matters that the worker was sent on.
+    fn counts(&self, now: Millis) -> bool {
+        now < self.stays_until.max(self.sent_on_at + BACK_SOON_MS)
+    }
+}
+
 impl Controller {
     pub(super) fn report(&mut self, request: u64, report: Report) {
         if self.ownership.holds_claim() {
@@ -79,9 +87,6 @@
     /// controller it was sent to, and stays for a while.
     fn sends_on(&mut self, machine: &str) -> bool {
         let now = self.now;
-        if self.redirected.len() >= MAX_REDIRECTED {
-            self.redirected.clear();
-        }
         match self.redirected.get_mut(machine) {
             Some(redirected) if now < redirected.stays_until => false,
             Some(redirected) if now < redirected.sent_on_at + BACK_SOON_MS => {
@@ -246,7 +251,7 @@
         if !out || !self.mirror.complete {
             return;
         }
-        let newer = self.mirror.jobs.values();
+        let newer = self.mirror.jobs().values();
         let newer = newer.filter(|(key, version)| *version > revision && key.ended == Some(Standing::Cancelled));
         let cancelled: Vec<_> = newer.take(MAX_CANCELLED + 1).cloned().collect();
         if cancelled.len() <= MAX_CANCELLED && self.ownership.promise(self.now) {
@@ -262,9 +267,9 @@
         }
         for (key, version) in cancelled {
             let id = key.spec.id.clone();
-            let known = self.mirror.jobs.get(&id);
+            let known = self.mirror.jobs().get(&id);
             if version > self.mirror.revision && known.is_none_or(|&(_, known)| known < version) {
-                self.mirror.jobs.insert(id.clone(), (key, version));
+                self.mirror.learn(&id, key, version);
                 self.job_changed(&id);
             }
         }
@@ -291,6 +296,10 @@
             self.relayed_at = now;
             self.flush();
         }
+        if now >= self.redirected_at + FORGET_REDIRECTED_MS {
+            self.redirected_at = now;
+            self.redirected.retain(|_, redirected| redirected.counts(now));
+        }
         // Forwards are given up by intake; what is left here is forgotten with it.
         if self.forwards.len() > 2_000 {
             let oldest = self.next_forward.saturating_sub(1_000);
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -20,6 +20,8 @@
 /// Commands that come up close together go out together.
 const PUSH_EVERY_MS: Millis = 50;
 const COUNTS_EVERY_MS: Millis = 1_000;
+/// Jobs whose counts are told, so that the message stays well within a frame.
+const MAX_COUNTS: usize = 20_000;
 /// Raising the term costs a fresh start, so not more often than this.
 const RECLAIM_EVERY_MS: Millis = 8_000;
 /// An owner that hears nobody, no controller and no worker, for this long
@@ -224,7 +226,7 @@
         let Some(share) = &mut self.share else {
             return false;
         };
-        for (id, (key, version)) in &self.mirror.jobs {
+        for (id, (key, version)) in self.mirror.jobs() {
             share.job_changed(self.now, id, key, *version);
         }
         true
@@ -611,7 +613,7 @@
                     .counts(&job.id)
                     .map(|(done, running)| (job.id.clone(), done, running))
             })
-            .take(2_000)
+            .take(MAX_COUNTS)
             .collect();
         tracing::debug!(
             jobs = share.jobs.len(),
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -36,7 +36,9 @@
 const WATCH_PAUSE_MS: Millis = 150;
 /// Pause before a failed read or watch is tried again.
 const RETRY_MS: Millis = 300;
-const MAX_STORE_QUEUE: usize = 600;
+/// Requests to the state service that wait are those of this long at its rate: users
+/// give up before any more would be sent.
+const STORE_QUEUE_S: f64 = 3.0;
 
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -215,7 +217,9 @@
     /// Commands taken over from an owner, by our call: who asked, and its id.
     held: BTreeMap<u64, (String, u64)>,
     pushed_out: BTreeMap<String, Vec<(u64, WorkerReply)>>,
+    /// Workers that this controller sent on lately, and when old ones were forgotten.
     redirected: BTreeMap<String, follower::RedirectedWorker>,
+    redirected_at: Millis,
 }
 
 impl Controller {
@@ -273,6 +277,7 @@
             held: BTreeMap::new(),
             pushed_out: BTreeMap::new(),
             redirected: BTreeMap::new(),
+            redirected_at: 0,
             settings,
             policy,
         }
@@ -480,7 +485,8 @@
             self.calls.insert(call, (queued.purpose, queued.request));
         }
         self.queue = held;
-        while self.queue.len() > MAX_STORE_QUEUE {
+        let most = (self.settings.params.state.rps * STORE_QUEUE_S) as usize;
+        while self.queue.len() > most {
             // Only users' requests come in such numbers.
             let Some(position) = self
                 .queue
@@ -637,7 +643,7 @@
     }
 
     fn job_changed(&mut self, id: &str) {
-        if let (Some(share), Some((key, version))) = (&mut self.share, self.mirror.jobs.get(id)) {
+        if let (Some(share), Some((key, version))) = (&mut self.share, self.mirror.jobs().get(id)) {
             share.job_changed(self.now, id, key, *version);
             self.place_wanted = true;
         }
@@ -663,6 +669,7 @@
             now: self.now,
             wall: self.wall,
             keys: &self.keys,
+            limits: &self.settings.params.limits,
             mirror: &self.mirror,
             claim,
             refuse: &refuse,
@@ -699,7 +706,7 @@
                 Want::Learned { id, key, revision } => {
                     // The watch may have been faster, even to the job's end.
                     if revision > self.mirror.revision {
-                        self.mirror.jobs.insert(id.clone(), (key, revision));
+                        self.mirror.learn(&id, key, revision);
                         self.job_changed(&id);
                     }
                 }
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -10,7 +10,9 @@
 pub use check::{Refusal, check, parse, valid_id};
 
 use crate::Millis;
+use crate::memory;
 use crate::peers::{Answer, Ask};
+use crate::settings::Limits;
 use crate::store::{JobKey, Keys, Mirror, StoreReply};
 use crate::wire::{Change, Condition, JobSpec, JobStatus, Standing, Transaction};
 use serde::Deserialize;
@@ -90,6 +92,7 @@
     pub wall: Millis,
     pub keys: &'a Keys,
     pub mirror: &'a Mirror,
+    pub limits: &'a Limits,
     /// The owner's claim, while this controller is the acting owner.
     pub claim: Option<Condition>,
     /// Teams and machine types; `None` until the catalogue is known.
@@ -178,11 +181,14 @@
         let Some(op) = self.ops.get_mut(&op_id) else {
             return Vec::new();
         };
-        let known = context.mirror.jobs.contains_key(&op.id);
+        let known = context.mirror.jobs().contains_key(&op.id);
         if let Some(Ok(spec)) = &op.spec
             && !known
         {
             match (context.refuse)(spec) {
+                Some(Ok(())) if !memory::has_room_for(context.limits, context.mirror, spec.tasks) => {
+                    return self.finish(op_id, busy("too much unfinished work"));
+                }
                 Some(Ok(())) => {
                     let value = JobKey {
                         spec: spec.clone(),
@@ -248,7 +254,7 @@
         if let Some(status) = final_in(context.mirror, &op.id) {
             return self.finish(op_id, status_answer(200, &status));
         }
-        let Some((job, version)) = context.mirror.jobs.get(&op.id) else {
+        let Some((job, version)) = context.mirror.jobs().get(&op.id) else {
             op.stage = Stage::End;
             let key = context.keys.end(&op.id);
             return vec![Want::ReadEnd { op: op_id, key }];
@@ -433,7 +439,7 @@
 }
 
 fn final_in(mirror: &Mirror, id: &str) -> Option<JobStatus> {
-    let (job, _) = mirror.jobs.get(id)?;
+    let (job, _) = mirror.jobs().get(id)?;
     Some(ended_status(id, job.ended?, job.spec.tasks))
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod ids;
 pub mod intake;
+pub mod memory;
 pub mod ownership;
 pub mod peers;
 pub mod pipeline;
--- /dev/null
+++ b/src/memory/tests.rs
@@ -0,0 +1,52 @@
+use super::*;
+use crate::store::JobKey;
+use crate::wire::JobSpec;
+
+fn job(number: usize, tasks: u32) -> JobKey {
+    let spec: JobSpec = serde_json::from_value(serde_json::json!({"id": format!("j-{number}"), "lotType": "sort",
+        "consignor": "floor", "saleFormat": "array", "bidRank": "high", "lots": tasks, "cores": 1.0, "cards": 0.0,
+        "memGb": 1.0, "catalog": "img", "pullGb": 1.0, "oneZone": false, "scatter": false, "loaner": true,
+        "appraisedS": 5.0, "tallyS": 0.0, "ledgerS": 0.0}))
+    .expect("a job");
+    JobKey {
+        spec,
+        accepted_ms: 0,
+        ended: None,
+    }
+}
+
+/// Jobs of so many tasks that are admitted within 85 MB.
+fn admitted(tasks: u32) -> usize {
+    let limits = Limits {
+        cpu_share: 0.03,
+        memory_mb: 85.0,
+        max_connections: 2_500,
+    };
+    let mut watched = Mirror::default();
+    while has_room_for(&limits, &watched, tasks) {
+        let number = watched.jobs().len();
+        watched.learn(&format!("j-{number}"), job(number, tasks), 1);
+    }
+    watched.jobs().len()
+}
+
+/// Guards against a controller that ends for memory: work is refused before.
+#[test]
+fn unfinished_work_is_admitted_up_to_its_part_of_the_memory() {
+    let part = 85e6 * UNFINISHED_PART;
+    assert_eq!(
+        admitted(1),
+        (part / (JOB_BYTES as f64 + THOUSAND_TASKS_BYTES as f64 / 1_000.0)) as usize
+    );
+    let large = JOB_BYTES as f64 + 100.0 * THOUSAND_TASKS_BYTES as f64;
+    assert_eq!(admitted(100_000), (part / large) as usize);
+}
+
+/// What was learned and forgotten again leaves nothing behind.
+#[test]
+fn a_job_learned_twice_counts_once() {
+    let mut watched = Mirror::default();
+    watched.learn("j-1", job(1, 10), 1);
+    watched.learn("j-1", job(1, 30), 2);
+    assert_eq!((watched.jobs().len(), watched.tasks()), (1, 30));
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -75,7 +75,7 @@
     /// Longest period over which demand is remembered for the forecast.
     forecast_s: 90.0 in 5.0..=3600.0;
     /// Most machines kept at once, whatever the forecast says.
-    max_machines: 5000.0 in 1.0..=20000.0;
+    max_machines: 20000.0 in 1.0..=100000.0;
 }
 
 impl Policy {
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -65,3 +65,24 @@
     let short = with("cancel_s = 46.0");
     assert!(short.warnings()[0].contains("params.workers.cancel_s"));
 }
+
+/// Guards against bounds fit for one size: what is served, kept and in flight follows
+/// from the limits, and together they stay within them.
+#[test]
+fn connections_stay_within_sockets_and_memory() {
+    for (sockets, memory_mb) in [
+        (64, 24.0),
+        (2_470, 128.0),
+        (2_500, 85.0),
+        (3_000, 136.0),
+        (20_000, 512.0),
+    ] {
+        let text = SAMPLE.replace("max_connections = 3000", &format!("max_connections = {sockets}"));
+        let text = text.replace("memory_mb = 136.0", &format!("memory_mb = {memory_mb:.1}"));
+        let connections = Settings::parse(&text).expect("valid").connections();
+        let all = connections.served as usize + connections.kept_idle + connections.in_flight;
+        assert!(all <= sockets, "{connections:?} of {sockets}");
+        assert!(all as f64 * CONNECTION_BYTES <= memory_mb * 1e6 * CONNECTIONS_MEMORY_PART);
+        assert!(connections.served as f64 > 0.4 * all as f64, "{connections:?}");
+    }
+}
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -39,7 +39,10 @@
     pub owner: Option<(OwnerValue, u64)>,
     pub term: (u64, u64),
     pub catalogue: Option<(serde_json::Value, u64)>,
-    pub jobs: BTreeMap<String, (JobKey, u64)>,
+    /// Each with the version of its key.
+    jobs: BTreeMap<String, (JobKey, u64)>,
+    /// Tasks of all these jobs.
+    tasks: u64,
     /// Keys read so far, and the revision of the first page, during a full read.
     reading: Option<(u64, Vec<Event>)>,
 }
@@ -63,6 +66,7 @@
             changes.push(MirrorChange::Owner);
         }
         let before = std::mem::take(&mut self.jobs);
+        self.tasks = 0;
         for event in events {
             changes.extend(self.apply(keys, event));
         }
@@ -78,6 +82,29 @@
         Some(changes)
     }
 
+    /// Unfinished jobs, and ended ones that are not cleaned up yet.
+    pub fn jobs(&self) -> &BTreeMap<String, (JobKey, u64)> {
+        &self.jobs
+    }
+
+    /// Tasks of all of [`Mirror::jobs`].
+    pub fn tasks(&self) -> u64 {
+        self.tasks
+    }
+
+    /// Takes in a job's key.
+    pub fn learn(&mut self, id: &str, key: JobKey, version: u64) {
+        self.forget(id);
+        self.tasks += u64::from(key.spec.tasks);
+        self.jobs.insert(id.into(), (key, version));
+    }
+
+    fn forget(&mut self, id: &str) {
+        if let Some((key, _)) = self.jobs.remove(id) {
+            self.tasks -= u64::from(key.spec.tasks);
+        }
+    }
+
     pub fn restart(&mut self) {
         self.complete = false;
         self.reading = None;
@@ -106,11 +133,11 @@
         let version = event.version;
         if let Some(id) = key.strip_prefix(&keys.jobs()) {
             if gone {
-                self.jobs.remove(id);
+                self.forget(id);
                 return Some(MirrorChange::JobGone(id.into()));
             }
             match serde_json::from_value(event.value) {
-                Ok(job) => self.jobs.insert(id.into(), (job, version)),
+                Ok(job) => self.learn(id, job, version),
                 Err(error) => {
                     tracing::error!(job = id, %error, "a job key can't be read");
                     return None;
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -14,11 +14,6 @@
 /// Ended tasks that a machine may have to list because one start is in doubt.
 const MANY_ENDED: usize = 40;
 
-/// Ended tasks that a worker is told to forget together. Each time it does, its
-/// tasks change and it reports once more, so what is in no hurry waits for another
-/// command or for this many.
-const FORGET_TOGETHER: usize = 8;
-
 /// How a report came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Path {
@@ -249,8 +244,6 @@
             return Vec::new();
         };
         let mut commands = Vec::new();
-        let mut forgets = Vec::new();
-        let mut hurry = false;
         let forget_safe = machine.doubt < self.term && !(machine.push.in_flight && machine.push.starts);
         for stray in &machine.strays {
             let (task, attempt) = (stray.task.clone(), stray.attempt);
@@ -261,11 +254,9 @@
                     grace_s: 0.0,
                 });
             } else if forget_safe && self.outcome_written(&stray.task) {
-                hurry |= self.may_run_again(&stray.task);
-                forgets.push(Command::Forget { task, attempt });
+                commands.push(Command::Forget { task, attempt });
             }
         }
-        hurry |= forgets.len() >= FORGET_TOGETHER;
         for &open in &machine.open {
             let Some(attempt) = self.attempts.get_mut(open) else {
                 continue;
@@ -283,10 +274,6 @@
                 commands.push(command);
             }
         }
-        if hurry || !commands.is_empty() {
-            // Before any start, so that the worker has as little to report as can be.
-            commands.splice(0..0, forgets);
-        }
         // Stops first: whatever has to wait for the next answer, they must not.
         commands.sort_by_key(|command| !matches!(command, Command::Stop { .. }));
         commands.truncate(400);
@@ -309,13 +296,6 @@
         !job.complete() && job.chunks.get(chunk).is_none_or(|chunk| chunk.written())
     }
 
-    /// Whether this task may be started again: as long as a machine lists an ended
-    /// attempt of it, that machine is not given another.
-    fn may_run_again(&self, task: &str) -> bool {
-        let found = split_task(task).and_then(|(job, number)| Some((self.jobs.get(self.jobs.find(job)?)?, number)));
-        found.is_some_and(|(job, number)| job.ended.is_none() && !job.done.contains(number))
-    }
-
     /// Closes everything on machines whose worker's lease has surely lapsed.
     pub fn close_lapsed(&mut self, now: Millis) {
         for ix in self.machines.indices() {
--- /dev/null
+++ b/tests/memory.rs
@@ -0,0 +1,219 @@
+//! Holds what each machine, task and job takes of a controller's memory below the
+//! figures that bounds are derived from. Bytes are counted by the allocator, so that
+//! the verdict is the same every time.
+
+use serde_json::json;
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use std::alloc::System;
+use std::sync::Mutex;
+use sumacbend::controller::Share;
+use sumacbend::memory;
+use sumacbend::policy::Policy;
+use sumacbend::settings::Settings;
+use sumacbend::store::{JobKey, Keys, Mirror};
+use sumacbend::wire::{Catalogue, Event, MachineType, Report, Standing, TaskReport};
+use sumacbend::workers::Path;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// The allocator counts for the whole process, so tests take turns.
+static TURN: Mutex<()> = Mutex::new(());
+
+const SETTINGS: &str = r#"
+node = "n0"
+location = "north"
+serve_on = "127.0.0.1:1"
+peer_listen = "127.0.0.1:2"
+[external]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[params]
+zones = ["north", "south"]
+time_bound_ms = 25.0
+[[params.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 0.0
+gpus = 0.0
+gpus_max = 0.0
+[params.workers]
+report_s = 3.0
+lease_s = 20.0
+cancel_s = 40.0
+[params.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 16.0
+txn_ops = 48
+[params.cloud]
+rps = 5.0
+list_lag_s = 6.0
+[params.quota]
+cores = 0.1
+memory_mb = 85.0
+max_connections = 2000
+"#;
+
+/// Enough of each kind for the growth of tables to even out.
+const MACHINES: usize = 4_096;
+const JOBS: usize = 4_096;
+const TASKS_A_MACHINE: usize = 16;
+
+fn share() -> Share {
+    let settings = Settings::parse(SETTINGS).expect("valid settings");
+    let mut share = Share::new("pool", 3, &settings, &Policy::default());
+    share.set_catalogue(&Catalogue {
+        types: vec![MachineType {
+            name: "pantry-rack".into(),
+            cpus: TASKS_A_MACHINE as f64,
+            gpus: 0.0,
+            memory_gb: 64.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: Some(0.5),
+            boot_s: 5.0,
+            zones: vec!["north".into()],
+        }],
+    });
+    share
+}
+
+fn job_key(number: usize, tasks: usize) -> JobKey {
+    let spec = json!({"id": format!("j-{number:06}"), "lotType": "allergen-labels", "consignor": "red",
+        "saleFormat": "array", "bidRank": "high", "lots": tasks, "cores": 1.0, "cards": 0.0, "memGb": 1.0,
+        "rigs": null, "yard": null, "oneZone": false, "scatter": false, "loaner": true, "catalog": "img-07",
+        "pullGb": 1.0, "appraisedS": 20.0, "tallyS": 0.0, "ledgerS": 0.0, "hammerS": 300.0});
+    JobKey {
+        spec: serde_json::from_value(spec).expect("a job"),
+        accepted_ms: 1_700_000_000_000,
+        ended: None,
+    }
+}
+
+fn machine_name(number: usize) -> String {
+    format!("host-{number:06}")
+}
+
+fn report(number: usize, tasks: Vec<TaskReport>) -> Report {
+    Report {
+        machine: machine_name(number),
+        address: format!("10.1.{}.{}:9000", number / 250, number % 250),
+        machine_type: "pantry-rack".into(),
+        zone: "north".into(),
+        spot: true,
+        session: 1,
+        seq: 1 + tasks.len() as u64,
+        token: 3,
+        notice_s: None,
+        tasks,
+    }
+}
+
+fn add_machines(share: &mut Share) {
+    for number in 0..MACHINES {
+        share.add_machine(0, &machine_name(number), "pantry-rack", "north", true);
+        share.merge_report(0, &report(number, Vec::new()), Path::Answered);
+    }
+    let machines = share.machines.indices();
+    for ix in machines {
+        share.machines.get_mut(ix).expect("there").written = true;
+    }
+}
+
+/// Bytes that `grow` keeps for each of `count`.
+fn bytes_each<T>(count: usize, grow: impl FnOnce() -> T) -> usize {
+    let region = Region::new(ALLOCATOR);
+    let kept = grow();
+    let change = region.change();
+    let bytes = change.bytes_allocated - change.bytes_deallocated;
+    drop(kept);
+    bytes / count
+}
+
+/// Within the named bound, and more than half of it: a bound that is far too wide
+/// would not notice what doubles.
+fn assert_close(bytes: usize, bound: usize) {
+    assert!(bytes <= bound, "{bytes} bytes, {bound} at most");
+    assert!(2 * bytes > bound, "{bytes} bytes: the bound of {bound} is too wide");
+}
+
+#[test]
+fn a_machine_takes_no_more_than_its_bound() {
+    let _turn = TURN.lock();
+    let mut share = share();
+    let bytes = bytes_each(MACHINES, || add_machines(&mut share));
+    assert_close(bytes, memory::MACHINE_BYTES);
+}
+
+#[test]
+fn an_open_task_takes_no_more_than_its_bound() {
+    let _turn = TURN.lock();
+    let mut share = share();
+    add_machines(&mut share);
+    let tasks = MACHINES * TASKS_A_MACHINE;
+    share.job_changed(0, "j-000001", &job_key(1, tasks), 1);
+    let bytes = bytes_each(tasks, || {
+        for round in 1..=tasks as u64 {
+            if share.attempts.iter().count() == tasks {
+                break;
+            }
+            share.place(round);
+        }
+    });
+    assert_eq!(share.attempts.iter().count(), tasks);
+    assert_close(bytes, memory::OPEN_TASK_BYTES);
+}
+
+#[test]
+fn an_unfinished_job_takes_no_more_than_its_bound() {
+    let _turn = TURN.lock();
+    let mut share = share();
+    let bytes = bytes_each(JOBS, || {
+        let mirror = watched(JOBS, None);
+        for (id, (key, version)) in mirror.jobs() {
+            share.job_changed(0, id, key, *version);
+        }
+        mirror
+    });
+    assert_close(bytes, memory::JOB_BYTES);
+}
+
+#[test]
+fn a_task_of_an_unfinished_job_takes_no_more_than_its_bound() {
+    let _turn = TURN.lock();
+    const TASKS: usize = 100_000;
+    let mut share = share();
+    let bytes = bytes_each(TASKS / 1_000, || {
+        share.job_changed(0, "j-000001", &job_key(1, TASKS), 1);
+    });
+    assert_close(bytes, memory::THOUSAND_TASKS_BYTES);
+}
+
+/// What a follower keeps of a job that has ended and is not cleaned up yet.
+#[test]
+fn an_ended_job_takes_no_more_than_its_bound() {
+    let _turn = TURN.lock();
+    let bytes = bytes_each(JOBS, || watched(JOBS, Some(Standing::Done)));
+    assert_close(bytes, memory::ENDED_JOB_BYTES);
+}
+
+fn watched(jobs: usize, ended: Option<Standing>) -> Mirror {
+    let keys = Keys::new("pool");
+    let mut mirror = Mirror::default();
+    for number in 0..jobs {
+        let key = JobKey {
+            ended,
+            ..job_key(number, 35)
+        };
+        let event = Event {
+            put: Some(keys.job(&key.spec.id)),
+            delete: None,
+            value: json!(key),
+            version: number as u64 + 1,
+        };
+        mirror.take_log(&keys, number as u64 + 1, vec![event]);
+    }
+    mirror
+}
