--- a/benches/costs.rs
+++ b/benches/costs.rs
@@ -1,3 +1,339 @@
+//! What the parts of a controller cost: time and allocations for each, with 2,000
+//! machines, 8,000 open tasks and 400 unfinished jobs. docs/results.md has the table.
+//!
+//! `cargo bench --bench costs`, or `cargo bench --bench costs -- report` for some.
+
+mod site;
+
+use divan::{AllocProfiler, Bencher, black_box};
+use site::{MACHINES, Site, TERM, peer, report};
+use sumacbend::controller::{Input, Share};
+use sumacbend::peers::{Ask, Message, ReportReply};
+use sumacbend::policy::Policy;
+use sumacbend::store::Keys;
+use sumacbend::wire::{Condition, ListedMachine, MachineList, MachineState, Report, ReportAnswer};
+use sumacbend::workers::Path;
+
+#[global_allocator]
+static ALLOCATOR: AllocProfiler = AllocProfiler::system();
+
+/// Reports in one frame between controllers.
+const BATCH: usize = 64;
+
 fn main() {
     divan::main();
 }
+
+fn json_report(seq: u64) -> Vec<u8> {
+    serde_json::to_vec(&report(1, seq)).expect("written")
+}
+
+/// A leader that has heard all machines.
+fn leader() -> Site {
+    let mut site = Site::new(false);
+    for machine in 0..MACHINES {
+        site.step(relay(machine, 1, 100));
+    }
+    for _ in 0..40 {
+        site.pass(50);
+    }
+    site
+}
+
+fn relay(first: usize, count: usize, seq: u64) -> Input {
+    let reports = (first..first + count).map(|machine| (machine as u64, report(machine % MACHINES, seq)));
+    peer(Message::Relay {
+        share: "pool".into(),
+        reports: reports.collect(),
+    })
+}
+
+/// A leader's state without the leader: all machines heard, and jobs that wait.
+fn share(jobs: usize, priority: &str) -> Share {
+    let mut share = Share::new("pool", TERM, &site::settings(), &Policy::default());
+    share.set_catalogue(&site::catalogue());
+    for machine in 0..MACHINES {
+        share.add_machine(0, &site::machine_name(machine), "pantry-rack", "north", true);
+        let heard = Report {
+            tasks: Vec::new(),
+            ..report(machine, 1)
+        };
+        share.merge_report(0, &heard, Path::Answered);
+    }
+    for ix in share.machines.indices() {
+        if let Some(machine) = share.machines.get_mut(ix) {
+            machine.written = true;
+        }
+    }
+    for number in 0..jobs {
+        let key = site::job_key(number, priority);
+        share.job_changed(0, &key.spec.id, &key, 1);
+    }
+    share
+}
+
+mod leader_costs {
+    use super::*;
+
+    #[divan::bench]
+    fn idle_tick(bencher: Bencher) {
+        let mut site = leader();
+        bencher.bench_local(|| site.pass(0));
+    }
+
+    /// Heartbeats, maintenance of all machines, counts: what time alone brings.
+    #[divan::bench]
+    fn tick_after_50_ms(bencher: Bencher) {
+        let mut site = leader();
+        bencher.bench_local(|| site.pass(50));
+    }
+
+    /// Sixty-four reports: the frame decoded, merged, answered and encoded.
+    #[divan::bench]
+    fn relayed_reports_64(bencher: Bencher) {
+        let mut site = leader();
+        let mut seq = 1_000;
+        bencher
+            .with_inputs(|| {
+                seq += 1;
+                let Input::Peer { message, .. } = relay(0, BATCH, seq) else {
+                    unreachable!("a peer's message");
+                };
+                rmp_serde::to_vec(&message).expect("written")
+            })
+            .bench_local_values(|frame| {
+                let message: Message = rmp_serde::from_slice(&frame).expect("read");
+                let outputs = site.step(peer(message));
+                for output in outputs {
+                    if let sumacbend::controller::Output::Peer { message, .. } = output {
+                        black_box(rmp_serde::to_vec(&message).expect("written"));
+                    }
+                }
+            });
+    }
+
+    /// One report that came to the leader itself, its JSON included.
+    #[divan::bench]
+    fn direct_report(bencher: Bencher) {
+        let mut site = leader();
+        let mut seq = 1_000;
+        bencher
+            .with_inputs(|| {
+                seq += 1;
+                json_report(seq)
+            })
+            .bench_local_values(|body| {
+                let report = serde_json::from_slice(&body).expect("read");
+                site.step(Input::Report { request: 1, report })
+            });
+    }
+
+    #[divan::bench]
+    fn poll(bencher: Bencher) {
+        let mut site = leader();
+        bencher.bench_local(|| {
+            site.step(Input::User {
+                request: 1,
+                ask: Ask::Show("j-000007".into()),
+            })
+        });
+    }
+
+    #[divan::bench(sample_count = 50, sample_size = 1)]
+    fn submission(bencher: Bencher) {
+        let mut site = leader();
+        let mut number = 10_000;
+        bencher
+            .with_inputs(|| {
+                number += 1;
+                serde_json::to_string(&site::spec(number, "high")).expect("written")
+            })
+            .bench_local_values(|body| {
+                site.step(Input::User {
+                    request: 1,
+                    ask: Ask::Submit(body),
+                })
+            });
+    }
+
+    #[divan::bench(sample_count = 50, sample_size = 1)]
+    fn cancellation(bencher: Bencher) {
+        let mut site = leader();
+        let mut number = 0;
+        bencher
+            .with_inputs(|| {
+                number += 1;
+                Ask::Cancel(format!("j-{number:06}"))
+            })
+            .bench_local_values(|ask| site.step(Input::User { request: 1, ask }));
+    }
+
+    /// Nothing fits: the machines are full and jobs wait.
+    #[divan::bench]
+    fn placement_round_without_room(bencher: Bencher) {
+        let mut share = share(400, "high");
+        let mut now = 0;
+        for _ in 0..100 {
+            share.place(now);
+        }
+        bencher.bench_local(|| {
+            now += 1;
+            share.place(now);
+        });
+    }
+
+    /// Two hundred tasks are placed.
+    #[divan::bench(sample_count = 20, sample_size = 1)]
+    fn placement_round_with_200_starts(bencher: Bencher) {
+        bencher
+            .with_inputs(|| share(400, "high"))
+            .bench_local_refs(|share| share.place(0));
+    }
+
+    /// Urgent jobs wait while work of low priority fills all machines.
+    #[divan::bench(sample_count = 20, sample_size = 1)]
+    fn preemption_search(bencher: Bencher) {
+        bencher
+            .with_inputs(|| {
+                let mut share = share(400, "low");
+                for _ in 0..100 {
+                    share.place(0);
+                }
+                let key = site::job_key(5_000, "high");
+                share.job_changed(0, &key.spec.id, &key, 1);
+                share.place(1);
+                share
+            })
+            .bench_local_refs(|share| share.preempt(1_000));
+    }
+
+    /// Built, written as JSON, and its answer taken in.
+    #[divan::bench(sample_count = 20, sample_size = 1)]
+    fn transaction(bencher: Bencher) {
+        let keys = Keys::new("pool");
+        bencher
+            .with_inputs(|| {
+                let mut share = share(400, "high");
+                share.place(0);
+                share
+            })
+            .bench_local_refs(|share| {
+                let claim = Condition {
+                    key: keys.owner(),
+                    version: 1,
+                };
+                let transaction = share.next_transaction(0, &keys, claim, 48, 48).expect("due");
+                black_box(serde_json::to_vec(&*transaction).expect("written"));
+                share.committed(0, &keys, 5);
+            });
+    }
+
+    /// A page of 500 machines of the cloud's list, its JSON included.
+    #[divan::bench]
+    fn cloud_list_500(bencher: Bencher) {
+        let mut share = share(0, "high");
+        let machines = (0..500).map(|number| ListedMachine {
+            id: site::machine_name(number),
+            address: Some(report(number, 1).address),
+            machine_type: "pantry-rack".into(),
+            zone: "north".into(),
+            spot: true,
+            state: MachineState::Running,
+            age_s: 100.0,
+        });
+        let list = MachineList {
+            machines: machines.collect(),
+            more: true,
+        };
+        let body = serde_json::to_vec(&list).expect("written");
+        bencher.bench_local(|| {
+            let list: MachineList = serde_json::from_slice(&body).expect("read");
+            share.listed(0, &list.machines, false);
+        });
+    }
+
+    /// The whole of it: all watched keys, machines, firings, and the first ticks.
+    #[divan::bench(sample_count = 5, sample_size = 1)]
+    fn take_over() -> Site {
+        Site::new(false)
+    }
+}
+
+mod follower_costs {
+    use super::*;
+
+    #[divan::bench]
+    fn idle_tick(bencher: Bencher) {
+        let mut site = Site::new(true);
+        bencher.bench_local(|| site.pass(0));
+    }
+
+    /// A report relayed: its JSON read, the frame written, the answer read and
+    /// written as JSON. Without the HTTP library.
+    #[divan::bench]
+    fn relayed_reports_64(bencher: Bencher) {
+        let body = json_report(1_000);
+        bencher.bench_local(|| {
+            let reports = (0..BATCH as u64).map(|id| (id, serde_json::from_slice(&body).expect("read")));
+            let message = Message::Relay {
+                share: "pool".into(),
+                reports: reports.collect(),
+            };
+            black_box(rmp_serde::to_vec(&message).expect("written"));
+            let answer = ReportAnswer {
+                token: TERM,
+                commands: Vec::new(),
+            };
+            let answers = (0..BATCH as u64).map(|id| (id, ReportReply::Taken(answer.clone())));
+            let answers = Message::Relayed {
+                answers: answers.collect(),
+            };
+            let frame = rmp_serde::to_vec(&answers).expect("written");
+            let message: Message = rmp_serde::from_slice(&frame).expect("read");
+            let Message::Relayed { answers } = message else {
+                unreachable!("as written");
+            };
+            for (_, reply) in answers {
+                if let ReportReply::Taken(answer) = reply {
+                    black_box(serde_json::to_string(&answer).expect("written"));
+                }
+            }
+        });
+    }
+
+    #[divan::bench]
+    fn poll(bencher: Bencher) {
+        let mut site = Site::new(true);
+        bencher.bench_local(|| {
+            site.step(Input::User {
+                request: 1,
+                ask: Ask::Show("j-000007".into()),
+            })
+        });
+    }
+
+    #[divan::bench]
+    fn heartbeat(bencher: Bencher) {
+        let mut site = Site::new(true);
+        let message = Message::Heartbeat {
+            node: "n1".into(),
+            share: "pool".into(),
+            owns_term: Some(TERM),
+            store_ok: true,
+        };
+        let frame = rmp_serde::to_vec(&message).expect("written");
+        bencher.bench_local(|| {
+            let message: Message = rmp_serde::from_slice(&frame).expect("read");
+            site.step(peer(message))
+        });
+    }
+}
+
+/// A line at the level that is written.
+#[divan::bench]
+fn log_line(bencher: Bencher) {
+    let subscriber = tracing_subscriber::fmt().with_writer(std::io::sink).finish();
+    tracing::subscriber::with_default(subscriber, || {
+        bencher.bench_local(|| tracing::info!(machine = "host-000001", reason = "silent", "giving up a machine"));
+    });
+}
