--- a/benches/costs.rs
+++ b/benches/costs.rs
@@ -63,6 +63,8 @@
     for ix in share.machines.indices() {
         if let Some(machine) = share.machines.get_mut(ix) {
             machine.written = true;
+            // The rounds below jump ahead in time.
+            machine.report_due = u64::MAX;
         }
     }
     for number in 0..jobs {
@@ -72,6 +74,16 @@
     share
 }
 
+/// Places tasks until no machine has room. Gives the time at which that is so.
+fn fill(share: &mut Share) -> u64 {
+    let mut now = 0;
+    for _ in 0..100 {
+        share.place(now);
+        now += 2_000;
+    }
+    now
+}
+
 mod leader_costs {
     use super::*;
 
@@ -172,10 +184,7 @@
     #[divan::bench]
     fn placement_round_without_room(bencher: Bencher) {
         let mut share = share(400, "high");
-        let mut now = 0;
-        for _ in 0..100 {
-            share.place(now);
-        }
+        let mut now = fill(&mut share);
         bencher.bench_local(|| {
             now += 1;
             share.place(now);
@@ -196,15 +205,15 @@
         bencher
             .with_inputs(|| {
                 let mut share = share(400, "low");
-                for _ in 0..100 {
-                    share.place(0);
+                let now = fill(&mut share);
+                for number in 5_000..5_100 {
+                    let key = site::job_key(number, "high");
+                    share.job_changed(0, &key.spec.id, &key, 1);
                 }
-                let key = site::job_key(5_000, "high");
-                share.job_changed(0, &key.spec.id, &key, 1);
-                share.place(1);
-                share
+                share.place(now);
+                (share, now + 1_000)
             })
-            .bench_local_refs(|share| share.preempt(1_000));
+            .bench_local_refs(|(share, now)| share.preempt(*now));
     }
 
     /// Built, written as JSON, and its answer taken in.
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -82,8 +82,9 @@
     pub fresh: u32,
     /// Tasks to run again, not before the given time.
     pub retry: VecDeque<(Millis, u32)>,
-    /// Since when a released task waits for a better machine.
-    pub waiting_since: Option<Millis>,
+    /// Until when released tasks wait for a machine that holds the image. Once over,
+    /// the job's tasks don't wait again.
+    pub waiting_until: Option<Millis>,
     /// Since when no machine has room for its next task.
     pub short_since: Option<Millis>,
     /// Failures in a row, and the machines they happened on.
@@ -284,7 +285,7 @@
             open: BTreeMap::new(),
             fresh: 0,
             retry: VecDeque::new(),
-            waiting_since: None,
+            waiting_until: None,
             short_since: None,
             errors: 0,
             failed_on: Vec::new(),
--- a/src/placement/machine_view.rs
+++ b/src/placement/machine_view.rs
@@ -21,6 +21,24 @@
     reserved: bool,
 }
 
+impl Slot {
+    fn has_room(&self, room: Room) -> bool {
+        !self.reserved && self.free.fits(room)
+    }
+}
+
+/// Where there is room for a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoomFor {
+    /// On a machine that holds its image.
+    AtHolder,
+    /// Only on others, while one that holds it is full.
+    BesideFullHolder,
+    /// Only on others, and nobody else holds it.
+    Elsewhere,
+    Nowhere,
+}
+
 #[derive(Debug)]
 pub struct MachineView {
     slots: Vec<Slot>,
@@ -125,24 +143,58 @@
         }
     }
 
-    /// Ranks the slots that the job may use and that have room for one of its tasks.
-    pub fn rank(&mut self, share: &Share, job: &Job, zones: &Option<Vec<Ix>>) -> Ranking {
-        let holders = self.holders.entry(job.image).or_insert_with(|| {
+    /// Which slots hold or fetch an image, noted once a round.
+    fn note_holders(&mut self, share: &Share, image: Ix) {
+        self.holders.entry(image).or_insert_with(|| {
             let machines = self.slots.iter().map(|slot| share.machines.get(slot.machine));
             machines
-                .map(|machine| machine.is_some_and(|machine| machine.holds(job.image)))
+                .map(|machine| machine.is_some_and(|machine| machine.holds(image)))
                 .collect()
         });
-        let mut ranked = Vec::new();
-        let mut holder_full = false;
-        for (place, (slot, &holds)) in self.slots.iter().zip(holders.iter()).enumerate() {
-            if !job.shape.allows(slot.type_ix, slot.zone, slot.spot)
-                || zones.as_ref().is_some_and(|zones| !zones.contains(&slot.zone))
-                || job.failed_on.contains(&slot.machine)
-            {
-                continue;
+    }
+
+    /// The slots that the job may use, full ones too, and whether they hold its image.
+    fn open_to<'a>(
+        &'a self,
+        job: &'a Job,
+        zones: &'a Option<Vec<Ix>>,
+    ) -> impl Iterator<Item = (usize, &'a Slot, bool)> {
+        let holders = self.holders.get(&job.image).map_or(&[][..], Vec::as_slice);
+        let slots = self.slots.iter().zip(holders).enumerate();
+        slots
+            .map(|(place, (slot, &holds))| (place, slot, holds))
+            .filter(|(_, slot, _)| {
+                job.shape.allows(slot.type_ix, slot.zone, slot.spot)
+                    && zones.as_ref().is_none_or(|zones| zones.contains(&slot.zone))
+                    && !job.failed_on.contains(&slot.machine)
+            })
+    }
+
+    /// Where there is room for one of the job's tasks.
+    pub fn room_for(&mut self, share: &Share, job: &Job, zones: &Option<Vec<Ix>>) -> RoomFor {
+        self.note_holders(share, job.image);
+        let (mut elsewhere, mut holder_full) = (false, false);
+        for (_, slot, holds) in self.open_to(job, zones) {
+            match (slot.has_room(job.shape.room), holds) {
+                (true, true) => return RoomFor::AtHolder,
+                (true, false) => elsewhere = true,
+                (false, holds) => holder_full |= holds,
             }
-            if slot.reserved || !slot.free.fits(job.shape.room) {
+        }
+        match (elsewhere, holder_full) {
+            (false, _) => RoomFor::Nowhere,
+            (true, true) => RoomFor::BesideFullHolder,
+            (true, false) => RoomFor::Elsewhere,
+        }
+    }
+
+    /// Ranks the slots that the job may use and that have room for one of its tasks.
+    pub fn rank(&mut self, share: &Share, job: &Job, zones: &Option<Vec<Ix>>) -> Ranking {
+        self.note_holders(share, job.image);
+        let mut ranked = Vec::with_capacity(self.slots.len());
+        let mut holder_full = false;
+        for (place, slot, holds) in self.open_to(job, zones) {
+            if !slot.has_room(job.shape.room) {
                 holder_full |= holds;
                 continue;
             }
--- a/src/placement/machine_view/tests.rs
+++ b/src/placement/machine_view/tests.rs
@@ -62,6 +62,14 @@
             let job = share.jobs.get(job_ix).expect("there");
             let expected = plain_scan(&share, job);
             let (room, image) = (job.shape.room, job.image);
+            let held = |best: &Ix| share.machines.get(*best).is_some_and(|machine| machine.holds(image));
+            let room_for = match (expected, holder_is_full(&share, job)) {
+                (None, _) => RoomFor::Nowhere,
+                (Some(best), _) if held(&best) => RoomFor::AtHolder,
+                (Some(_), true) => RoomFor::BesideFullHolder,
+                (Some(_), false) => RoomFor::Elsewhere,
+            };
+            prop_assert_eq!(view.room_for(&share, job, &None), room_for);
             let found = view.best(&mut ranking, image);
             prop_assert_eq!(found.as_ref().map(|best| view.machine_at(best.place)), expected);
             prop_assert!(found.as_ref().is_none_or(|best| best.holder_full == holder_is_full(&share, job)));
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -10,7 +10,7 @@
 use crate::pipeline::Job;
 use crate::wire::Priority;
 use crate::workers::{Attempt, Room, split_task};
-use machine_view::{MachineView, Ranking};
+use machine_view::{MachineView, Ranking, RoomFor};
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
@@ -99,7 +99,9 @@
     /// At this place of the view.
     Place(usize),
     /// The best machine is full for now and worth a short wait.
-    Wait,
+    Wait {
+        until: Millis,
+    },
     NoRoom,
 }
 
@@ -182,9 +184,9 @@
                     round.left -= 1;
                     placed += 1;
                 }
-                Choice::Wait => {
+                Choice::Wait { until } => {
                     if let Some(job) = self.jobs.get_mut(ix) {
-                        job.waiting_since.get_or_insert(round.now);
+                        job.waiting_until = Some(until);
                     }
                     return;
                 }
@@ -297,7 +299,16 @@
         }
         let ranking = match ranking {
             Some(ranking) => ranking,
-            None => ranking.insert(view.rank(self, job, &self.zones_open_to(job))),
+            None => {
+                let zones = self.zones_open_to(job);
+                // Many jobs wait at once; most rounds nothing has changed for them.
+                if let Some(until) = job.waiting_until.filter(|&until| round.now < until)
+                    && view.room_for(self, job, &zones) == RoomFor::BesideFullHolder
+                {
+                    return Choice::Wait { until };
+                }
+                ranking.insert(view.rank(self, job, &zones))
+            }
         };
         let Some(best) = view.best(ranking, job.image) else {
             // Other jobs of this shape need not look, unless it was only this
@@ -310,17 +321,16 @@
         if best.holds || !best.holder_full {
             return Choice::Place(best.place);
         }
-        let best = best.place;
-        let fetch_s = self.type_info[view.type_of(best) as usize]
-            .as_ref()
-            .map_or(0.0, |info| job.spec.image_gb / info.fetch_gb_per_s.max(0.001));
-        // Waiting longer than the fetch that it saves gains nothing.
-        let patience = crate::millis(self.policy.locality_wait_s.min(fetch_s));
-        let waited = job.waiting_since.map_or(0, |since| round.now.saturating_sub(since));
-        if waited < patience {
-            Choice::Wait
+        let until = job.waiting_until.unwrap_or_else(|| {
+            let info = self.type_info[view.type_of(best.place) as usize].as_ref();
+            let fetch_s = info.map_or(0.0, |info| job.spec.image_gb / info.fetch_gb_per_s.max(0.001));
+            // Waiting longer than the fetch that it saves gains nothing.
+            round.now + crate::millis(self.policy.locality_wait_s.min(fetch_s))
+        });
+        if round.now < until {
+            Choice::Wait { until }
         } else {
-            Choice::Place(best)
+            Choice::Place(best.place)
         }
     }
 
@@ -373,7 +383,7 @@
         job.last_start_ms = self.wall;
         if job.waiting() == 0 {
             job.short_since = None;
-            job.waiting_since = None;
+            job.waiting_until = None;
         }
         let room = job.shape.room;
         self.teams_use[job.team as usize].used.add(room);
--- a/src/runtime/front.rs
+++ b/src/runtime/front.rs
@@ -118,6 +118,3 @@
         answer.await.unwrap_or_else(|_| busy("the request was dropped"))
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/runtime/http_server.rs
+++ b/src/runtime/http_server.rs
@@ -7,6 +7,7 @@
 //! of the processor time.
 
 use super::front::Front;
+use super::pace::Pace;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -21,6 +22,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::OwnedSemaphorePermit;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// A connection without a complete request for this long is closed.
@@ -28,17 +30,25 @@
 /// Pause after a failed accept: out of sockets, most likely, and trying again at
 /// once would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How often it is looked whether the event loop keeps up again.
+const BEHIND_PAUSE: Duration = Duration::from_millis(20);
 /// Longest head of a request; hyper takes no smaller bound.
 const MAX_HEAD: usize = 8_192;
 
-/// Accepts connections, never more at once than the front has room for.
-pub async fn serve(listener: TcpListener, front: Front) {
+/// Accepts connections while the event loop keeps up, never more at once than the
+/// front has room for.
+pub async fn serve(listener: TcpListener, front: Front, pace: Arc<Pace>) {
     let front = Arc::new(front);
     let local = listener.local_addr().ok();
     loop {
         let Ok(permit) = front.room().acquire_owned().await else {
             return;
         };
+        // All that is ready has its turn before one more is accepted.
+        yield_now().await;
+        while pace.is_behind() {
+            sleep(BEHIND_PAUSE).await;
+        }
         match listener.accept().await {
             Ok((stream, remote)) => {
                 super::send_without_delay(&stream);
@@ -93,3 +103,6 @@
     }
     drop(permit);
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/runtime/http_server/tests.rs
@@ -0,0 +1,93 @@
+use super::*;
+use crate::intake::text;
+use crate::runtime::Event;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A server with so many connections that answers health checks. While `ticks`, its
+/// event loop keeps up.
+async fn serve_health(most: u32, ticks: bool) -> (SocketAddr, Arc<Pace>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (urgent, mut events) = mpsc::channel(16);
+    let (users, _) = mpsc::channel(16);
+    let pace = Arc::new(Pace::new());
+    tokio::spawn(serve(listener, Front::new(urgent, users, most), pace.clone()));
+    tokio::spawn(async move {
+        while let Some(event) = events.recv().await {
+            if let Event::Health { reply } = event {
+                let _ = reply.send(text(200, ""));
+            }
+        }
+    });
+    if ticks {
+        tokio::spawn(keep_up(pace.clone()));
+    }
+    (address, pace)
+}
+
+/// Ticks as an event loop does.
+async fn keep_up(pace: Arc<Pace>) {
+    loop {
+        pace.tick();
+        sleep(crate::runtime::pace::TICK).await;
+    }
+}
+
+async fn ask(address: SocketAddr) -> TcpStream {
+    let mut client = TcpStream::connect(address).await.expect("connected");
+    let request = b"GET /healthz HTTP/1.1\r\nHost: here\r\n\r\n";
+    client.write_all(request).await.expect("sent");
+    client
+}
+
+async fn is_answered(client: &mut TcpStream, within: Duration) -> bool {
+    let mut answer = [0; 12];
+    let read = timeout(within, client.read_exact(&mut answer)).await;
+    matches!(read, Ok(Ok(_))) && &answer == b"HTTP/1.1 200"
+}
+
+/// Guards against connections kept open for the next report while others
+/// wait for one: with one controller left, the workers that came last found
+/// no room until their leases had lapsed.
+#[tokio::test(flavor = "current_thread")]
+async fn more_clients_than_connections_all_get_their_answer() {
+    let (address, _) = serve_health(3, true).await;
+    // None of them closes its connection.
+    let mut kept = Vec::new();
+    for _ in 0..8 {
+        let mut client = ask(address).await;
+        assert!(is_answered(&mut client, PATIENCE).await);
+        kept.push(client);
+    }
+}
+
+/// Guards against a leader that loses its lease, or never takes over, because
+/// thousands of workers connect at once.
+#[tokio::test(flavor = "current_thread")]
+async fn no_connection_is_accepted_while_the_event_loop_is_behind() {
+    let (address, pace) = serve_health(8, false).await;
+    sleep(Duration::from_millis(300)).await;
+    assert!(pace.is_behind());
+    // The accept that was under way when it fell behind, and one that has to wait.
+    let _first = ask(address).await;
+    let mut second = ask(address).await;
+    assert!(!is_answered(&mut second, Duration::from_millis(400)).await);
+    tokio::spawn(keep_up(pace));
+    assert!(is_answered(&mut second, PATIENCE).await);
+}
+
+/// Guards against connections that nobody uses any more, which would hold memory and
+/// a socket each for good.
+#[tokio::test(start_paused = true)]
+async fn a_connection_without_requests_is_closed() {
+    let (address, _) = serve_health(8, true).await;
+    let mut client = ask(address).await;
+    assert!(is_answered(&mut client, PATIENCE).await);
+    let mut rest = Vec::new();
+    let closed = timeout(2 * IDLE, client.read_to_end(&mut rest)).await;
+    assert!(closed.is_ok(), "still open after {:?}", 2 * IDLE);
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -6,6 +6,7 @@
 mod front;
 mod http_server;
 mod links;
+mod pace;
 
 pub use client::{Client, Failure};
 
@@ -15,13 +16,14 @@
 use crate::settings::Settings;
 use crate::wire::Report;
 use crate::{Millis, Now};
+use pace::{Pace, TICK};
 use std::collections::{BTreeMap, HashMap};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::sync::Arc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
-const TICK: Duration = Duration::from_millis(50);
 const USER_QUEUE: usize = 512;
 /// Messages waiting for one peer; more means that its link is dead.
 const LINK_QUEUE: usize = 256;
@@ -82,12 +84,14 @@
     let (store, store_events) = mpsc::channel(settings.event_queue());
     let front = front::Front::new(urgent.clone(), users, connections.served);
     let listener = TcpListener::bind(settings.listen).await?;
-    tokio::spawn(http_server::serve(listener, front));
+    let pace = Arc::new(Pace::new());
+    tokio::spawn(http_server::serve(listener, front, pace.clone()));
     let peer_listener = TcpListener::bind(settings.peer_listen).await?;
     tokio::spawn(links::accept(peer_listener, urgent.clone()));
     tracing::info!(node = settings.node, zone = settings.zone, listen = %settings.listen, "started");
     let event_loop = EventLoop {
         clock: Clock { start: Instant::now() },
+        pace,
         links: dial_peers(&settings),
         calls: calls::Calls::new(&settings, connections.kept_idle, urgent, store),
         controller: Controller::new(settings, policy, rand::random()),
@@ -113,6 +117,7 @@
 /// Feeds the controller one event after the other and carries out what it wants.
 struct EventLoop {
     clock: Clock,
+    pace: Arc<Pace>,
     controller: Controller,
     calls: calls::Calls,
     links: HashMap<String, mpsc::Sender<Message>>,
@@ -136,7 +141,10 @@
             // to polls.
             let event = tokio::select! {
                 biased;
-                _ = tick.tick() => Event::Input(Input::Tick),
+                _ = tick.tick() => {
+                    self.pace.tick();
+                    Event::Input(Input::Tick)
+                }
                 Some(event) = store_events.recv() => event,
                 Some(event) = urgent_events.recv() => event,
                 Some(event) = user_events.recv() => event,
