--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -18,9 +18,10 @@
 use crate::{Millis, Now};
 use pace::{Pace, TICK};
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
@@ -83,7 +84,7 @@
     let (users, user_events) = mpsc::channel(USER_QUEUE);
     let (store, store_events) = mpsc::channel(settings.event_queue());
     let front = front::Front::new(urgent.clone(), users, connections.served);
-    let listener = TcpListener::bind(settings.listen).await?;
+    let listener = listen(settings.listen, connections.backlog)?;
     let pace = Arc::new(Pace::new());
     tokio::spawn(http_server::serve(listener, front, pace.clone()));
     let peer_listener = TcpListener::bind(settings.peer_listen).await?;
@@ -104,6 +105,17 @@
     served.await.map_err(std::io::Error::other)
 }
 
+/// `backlog`: connections that may wait to be accepted.
+fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(backlog)
+}
+
 fn dial_peers(settings: &Settings) -> HashMap<String, mpsc::Sender<Message>> {
     let mut links = HashMap::new();
     for peer in &settings.peers {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -28,6 +28,9 @@
 const CONNECTION_BYTES: f64 = 20.0 * 1024.0;
 /// Part of the memory that connections may take.
 const CONNECTIONS_MEMORY_PART: f64 = 0.45;
+/// Part of the sockets for connections that wait to be accepted. Without any left the
+/// state service could not be reached either.
+const BACKLOG_PART: f64 = 0.1;
 /// Parts of all connections: kept idle to workers, and with a command in flight.
 const KEPT_IDLE_PART: f64 = 0.24;
 const IN_FLIGHT_PART: f64 = 0.12;
@@ -45,6 +48,8 @@
     pub kept_idle: usize,
     /// To workers, with a command in flight.
     pub in_flight: usize,
+    /// Waiting to be accepted.
+    pub backlog: u32,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -171,7 +176,8 @@
     pub fn connections(&self) -> Connections {
         let limits = &self.params.limits;
         let by_memory = limits.memory_mb * 1e6 * CONNECTIONS_MEMORY_PART / CONNECTION_BYTES;
-        let all = f64::from(limits.max_connections).min(by_memory);
+        let backlog = f64::from(limits.max_connections) * BACKLOG_PART;
+        let all = (f64::from(limits.max_connections) - backlog).min(by_memory);
         let part = |part: f64| ((all * part) as usize).max(1);
         let (kept_idle, in_flight) = (part(KEPT_IDLE_PART), part(IN_FLIGHT_PART));
         let outgoing = (kept_idle + in_flight) as u32 + FIXED_CONNECTIONS.min(all as u32 / 4);
@@ -179,6 +185,7 @@
             served: (all as u32).saturating_sub(outgoing).max(1),
             kept_idle,
             in_flight,
+            backlog: backlog as u32,
         }
     }
 
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -81,7 +81,10 @@
         let text = text.replace("memory_mb = 136.0", &format!("memory_mb = {memory_mb:.1}"));
         let connections = Settings::parse(&text).expect("valid").connections();
         let all = connections.served as usize + connections.kept_idle + connections.in_flight;
-        assert!(all <= sockets, "{connections:?} of {sockets}");
+        assert!(
+            all + connections.backlog as usize <= sockets,
+            "{connections:?} of {sockets}"
+        );
         assert!(all as f64 * CONNECTION_BYTES <= memory_mb * 1e6 * CONNECTIONS_MEMORY_PART);
         assert!(connections.served as f64 > 0.4 * all as f64, "{connections:?}");
     }
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -291,6 +291,32 @@
     assert!(world.sent.store_requests < 200 * 330, "{:?}", world.sent);
 }
 
+/// More machines than the operators run. All of them report at once when an outage of
+/// the state service ends, in which the leader ended as well, and once more when the
+/// next one ends.
+#[test]
+fn more_than_four_thousand_machines_report_at_once_after_an_outage_and_a_crash() {
+    let troubles = vec![
+        (60_000, Trouble::StoreOutage { ms: 15_000 }),
+        (66_000, Trouble::Crash { node: OWNER }),
+        (100_000, Trouble::Crash { node: OWNER }),
+    ];
+    let mut world = World::of_size(14, 5, 2_200, troubles);
+    world.run_times = 20;
+    submit_large(&mut world, 18, 320, 200);
+    world.run(59_000);
+    let machines = world.machines();
+    assert!(machines > 4_200, "{machines} machines");
+    world.run(400_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    let open = world.jobs.iter().filter(|job| job.told != Told::Done).count();
+    assert_eq!(open, 0);
+    assert_eq!(world.lost_tasks, 0, "no lease ran out");
+    // The service's limits, all controllers together.
+    assert!(world.sent.store_writes < 80 * 400, "{:?}", world.sent);
+    assert!(world.sent.store_requests < 200 * 400, "{:?}", world.sent);
+}
+
 /// Guards against deleting the whole fleet when an outage of the state service
 /// ends that was longer than the workers' leases: no controller could hear them.
 #[test]
--- a/tests/rules/world/cloud.rs
+++ b/tests/rules/world/cloud.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Machines in one page of the list.
+const LIST_LIMIT: usize = 500;
+
 pub(super) fn catalogue() -> Catalogue {
     let machine_type = |name: &str, cpus: f64| MachineType {
         name: name.into(),
@@ -114,10 +117,10 @@
                         },
                         age_s: (self.now - w.hired_at) as f64 / 1000.0,
                     });
-                CloudReply::Listed(MachineList {
-                    machines: listed.take(500).collect(),
-                    more: false,
-                })
+                let mut machines: Vec<ListedMachine> = listed.take(LIST_LIMIT + 1).collect();
+                let more = machines.len() > LIST_LIMIT;
+                machines.truncate(LIST_LIMIT);
+                CloudReply::Listed(MachineList { machines, more })
             }
         }
     }
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -313,9 +313,14 @@
 
     /// Room for some thousand machines, and teams that may use them.
     pub fn at_size(seed: u64, nodes: usize, troubles: Vec<(u64, Trouble)>) -> World {
+        World::of_size(seed, nodes, 1_000, troubles)
+    }
+
+    /// Room for so many machines of each zone and kind, of which there are four.
+    pub fn of_size(seed: u64, nodes: usize, capacity: usize, troubles: Vec<(u64, Trouble)>) -> World {
         let mut world = World::new(seed, nodes, 0, troubles);
-        world.capacity = 1_000;
-        world.team_cpus = 20_000.0;
+        world.capacity = capacity;
+        world.team_cpus = 20.0 * capacity as f64;
         world
     }
 
