--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -126,7 +126,7 @@
         match (what, reply) {
             (Call::Catalogue, CloudReply::Catalogue(catalogue)) => {
                 let value = json!(catalogue);
-                let stored = self.mirror.catalogue.as_ref();
+                let stored = self.watch_cache.catalogue.as_ref();
                 if stored.is_none_or(|(stored, _)| *stored != value) && self.ownership.acting(now) {
                     // Kept, so that a restart while the cloud is out of reach
                     // can still decide on submissions.
--- a/src/controller/commits.rs
+++ b/src/controller/commits.rs
@@ -182,7 +182,7 @@
         }
     }
 
-    /// A cancel was faster. The mirror will say so.
+    /// A cancel was faster. The watch cache will say so.
     fn not_applied(&mut self) {
         if let Some(share) = &mut self.share {
             share.not_applied();
--- a/src/controller/follower.rs
+++ b/src/controller/follower.rs
@@ -248,10 +248,10 @@
     /// was cancelled, we promise not to claim, and tell it of what it may not know.
     fn asked_to_hold(&mut self, node: String, term: u64, asked: u64, revision: u64) {
         let out = self.store_failed_at > self.store_ok_at;
-        if !out || !self.mirror.complete {
+        if !out || !self.watch_cache.complete {
             return;
         }
-        let newer = self.mirror.jobs().values();
+        let newer = self.watch_cache.jobs().values();
         let newer = newer.filter(|(key, version)| *version > revision && key.ended == Some(Standing::Cancelled));
         let cancelled: Vec<_> = newer.take(MAX_CANCELLED + 1).cloned().collect();
         if cancelled.len() <= MAX_CANCELLED && self.ownership.promise(self.now) {
@@ -267,9 +267,9 @@
         }
         for (key, version) in cancelled {
             let id = key.spec.id.clone();
-            let known = self.mirror.jobs().get(&id);
-            if version > self.mirror.revision && known.is_none_or(|&(_, known)| known < version) {
-                self.mirror.learn(&id, key, version);
+            let known = self.watch_cache.jobs().get(&id);
+            if version > self.watch_cache.revision && known.is_none_or(|&(_, known)| known < version) {
+                self.watch_cache.learn(&id, key, version);
                 self.job_changed(&id);
             }
         }
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -45,7 +45,7 @@
 
 impl Controller {
     pub(super) fn leader_changed(&mut self) {
-        let Some((owner, version)) = &self.mirror.owner else {
+        let Some((owner, version)) = &self.watch_cache.owner else {
             return;
         };
         if self.ownership.holds_claim() && owner.term > self.ownership.term {
@@ -72,7 +72,7 @@
         match reply {
             StoreReply::Granted { lease } => {
                 let sent = self.ownership.asked_at();
-                match self.ownership.granted(lease, sent, &self.keys, &self.mirror) {
+                match self.ownership.granted(lease, sent, &self.keys, &self.watch_cache) {
                     Some(transaction) => self.send_claim(transaction),
                     None => self.follow(0),
                 }
@@ -151,7 +151,7 @@
         let prefix = match part {
             Loading::Machines => self.keys.rosters(),
             Loading::Hires => self.keys.hires(),
-            Loading::Mirror => self.keys.watched(),
+            Loading::WatchCache => self.keys.watched(),
             Loading::Firings => self.keys.firings(),
         };
         self.enqueue(Purpose::Load(part), StoreRequest::List { prefix, after });
@@ -164,13 +164,13 @@
         if matches!(reply, StoreReply::Page(_) | StoreReply::Log(_)) {
             self.load_heard_at = self.now;
         }
-        if part == Loading::Mirror && self.load_synced(&reply) {
+        if part == Loading::WatchCache && self.load_synced(&reply) {
             self.load(Loading::Firings, String::new());
             return;
         }
         let StoreReply::Page(page) = reply else {
             let request = match part {
-                Loading::Mirror => self.watch(0),
+                Loading::WatchCache => self.watch(0),
                 _ => request.clone(),
             };
             self.queue.push_back(super::Queued {
@@ -188,13 +188,13 @@
             match part {
                 Loading::Machines => share.load_group(self.now, tail(entry, &self.keys.rosters()), entry),
                 Loading::Hires => share.load_hire(entry),
-                Loading::Mirror => {}
+                Loading::WatchCache => {}
                 Loading::Firings => {
                     let name = tail(entry, &self.keys.firings()).to_owned();
                     let Some((job, number)) = name.split_once('/') else {
                         continue;
                     };
-                    // The job may be newer than the mirror, which is brought up
+                    // The job may be newer than the watch cache, which is brought up
                     // to date before firings are read; if it is still missing,
                     // it was cleaned up while these pages were read.
                     if share.jobs.find(job).is_some()
@@ -208,17 +208,17 @@
         match (page.more, next, part) {
             (true, Some(after), _) => self.load(part, after),
             (_, _, Loading::Machines) => self.load(Loading::Hires, String::new()),
-            // The mirror must be newer than the claim before firings are read.
+            // The watch cache must be newer than the claim before firings are read.
             (_, _, Loading::Hires) => {
                 let request = self.watch(0);
-                self.enqueue(Purpose::Load(Loading::Mirror), request);
+                self.enqueue(Purpose::Load(Loading::WatchCache), request);
             }
-            (_, _, Loading::Mirror) => {}
+            (_, _, Loading::WatchCache) => {}
             (_, _, Loading::Firings) => self.loaded(),
         }
     }
 
-    /// The read that brings the mirror up to date while loading came back.
+    /// The read that brings the watch cache up to date while loading came back.
     fn load_synced(&mut self, reply: &StoreReply) -> bool {
         if !self.take_log(reply.clone()) {
             return false;
@@ -226,7 +226,7 @@
         let Some(share) = &mut self.share else {
             return false;
         };
-        for (id, (key, version)) in self.mirror.jobs() {
+        for (id, (key, version)) in self.watch_cache.jobs() {
             share.job_changed(self.now, id, key, *version);
         }
         true
@@ -266,15 +266,15 @@
         }
     }
 
-    /// The mirror holds all that was written before `sent`. After a lapse that is
+    /// The watch cache holds all that was written before `sent`. After a lapse that is
     /// what acting again waits for: a cancellation may have come in the meantime,
     /// and the claim may be another's.
-    pub(super) fn mirror_read(&mut self, sent: Millis) {
-        self.ownership.mirror_read(sent);
+    pub(super) fn watch_cache_read(&mut self, sent: Millis) {
+        self.ownership.watch_cache_read(sent);
         if !self.ownership.may_resume(self.now, sent) {
             return;
         }
-        let claim = self.mirror.owner.as_ref();
+        let claim = self.watch_cache.owner.as_ref();
         let ours = claim
             .is_some_and(|(owner, version)| self.ownership.is_mine(owner) && *version == self.ownership.claim_version);
         if ours {
@@ -408,7 +408,7 @@
         }
         share.withdraw = false;
         tracing::info!(term = self.ownership.term, "raising the term");
-        let transaction = self.ownership.reclaim(&self.keys, &self.mirror);
+        let transaction = self.ownership.reclaim(&self.keys, &self.watch_cache);
         self.send_claim(transaction);
         true
     }
@@ -560,7 +560,7 @@
                     "a worker has seen a higher token"
                 );
                 self.follow(1_000);
-                self.mirror.restart();
+                self.watch_cache.restart();
             }
             Merged::Old | Merged::Gone => {}
         }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -18,7 +18,7 @@
 use crate::peers::{Answer, Ask, Message, Peers};
 use crate::policy::Policy;
 use crate::settings::{Connections, Settings};
-use crate::store::{Bucket, Keys, Mirror, MirrorChange, StoreReply, StoreRequest};
+use crate::store::{Bucket, Keys, StoreReply, StoreRequest, WatchCache, WatchedChange};
 use crate::wire::{Catalogue, DirectCommands, HireRequest, JobSpec, MachineList, MachineNames, Report, Transaction};
 use crate::{Millis, Now};
 use std::collections::{BTreeMap, VecDeque};
@@ -113,9 +113,9 @@
     },
     /// After a claim that conflicted: is it ours?
     CheckClaim,
-    ReadMirror,
+    ReadWatchCache,
     Watch,
-    /// Brings the mirror up to date; for questions of intake, if not 0.
+    /// Brings the watch cache up to date; for questions of intake, if not 0.
     Sync {
         number: u64,
         sent: Millis,
@@ -136,7 +136,7 @@
     Machines,
     Hires,
     /// The watched keys, up to a revision after the claim.
-    Mirror,
+    WatchCache,
     Firings,
 }
 
@@ -162,7 +162,7 @@
     next_call: u64,
 
     ownership: Ownership,
-    mirror: Mirror,
+    watch_cache: WatchCache,
     catalogue: Option<Catalogue>,
     intake: Intake,
     peers: Peers,
@@ -233,8 +233,8 @@
             outputs: Vec::new(),
             // A peer may still answer what a former life of this process asked.
             next_call: life >> 1,
-            ownership: Ownership::new(&settings.node, life, settings.mirror_age_ms()),
-            mirror: Mirror::default(),
+            ownership: Ownership::new(&settings.node, life, settings.watch_cache_age_ms()),
+            watch_cache: WatchCache::default(),
             catalogue: None,
             intake: Intake::default(),
             peers: Peers::new(nodes),
@@ -333,7 +333,7 @@
 
     /// Whatever is due, after every input.
     fn advance(&mut self) {
-        self.advance_mirror();
+        self.advance_watch_cache();
         self.advance_ownership();
         self.advance_leader();
         if let Some(number) = self.intake.take_sync() {
@@ -342,12 +342,12 @@
         self.send_queued();
     }
 
-    fn advance_mirror(&mut self) {
-        if !self.mirror.complete {
+    fn advance_watch_cache(&mut self) {
+        if !self.watch_cache.complete {
             if !self.reading && self.now >= self.read_not_before {
                 self.reading = true;
                 self.enqueue(
-                    Purpose::ReadMirror,
+                    Purpose::ReadWatchCache,
                     StoreRequest::List {
                         prefix: self.keys.watched(),
                         after: String::new(),
@@ -361,7 +361,7 @@
             self.enqueue(Purpose::Watch, self.watch(WATCH_WAIT_MS));
         }
         // Without other traffic, a look now and then tells whether the state
-        // service can be reached, and keeps the mirror fresh.
+        // service can be reached, and keeps the watch cache fresh.
         if self.now >= self.store_asked_at + CHECK_STORE_MS {
             self.sync(0);
         }
@@ -373,18 +373,18 @@
         self.enqueue(Purpose::Sync { number, sent }, self.watch(0));
     }
 
-    /// What has changed of the watched keys since the mirror's revision.
+    /// What has changed of the watched keys since the watch cache's revision.
     fn watch(&self, wait_ms: u64) -> StoreRequest {
         StoreRequest::Watch {
             prefix: self.keys.watched(),
-            since: self.mirror.revision,
+            since: self.watch_cache.revision,
             wait_ms,
         }
     }
 
     fn advance_ownership(&mut self) {
         let others = self.peers.is_alone() || self.peers.any_in_reach(self.now);
-        match self.ownership.poll(self.now, &self.mirror, others) {
+        match self.ownership.poll(self.now, &self.watch_cache, others) {
             Some(LeaseRequest::Grant) => {
                 let ttl_ms = crate::ownership::LEASE_MS;
                 self.enqueue(Purpose::Grant, StoreRequest::Grant { ttl_ms });
@@ -406,7 +406,7 @@
             share: SHARE.into(),
             term: self.ownership.term,
             asked: self.now,
-            revision: self.mirror.revision,
+            revision: self.watch_cache.revision,
         };
         self.tell_all(&message);
     }
@@ -543,7 +543,7 @@
             Purpose::Claim { transaction, sent } => self.claim_answered(transaction, sent, reply),
             Purpose::Renew { sent } => self.renew_answered(sent, reply),
             Purpose::CheckClaim => self.claim_checked(reply),
-            Purpose::ReadMirror => self.mirror_page(request, reply),
+            Purpose::ReadWatchCache => self.watch_cache_page(request, reply),
             Purpose::Watch => {
                 self.watching = false;
                 let taken = self.take_log(reply);
@@ -552,7 +552,7 @@
             Purpose::Sync { number, sent } => {
                 let ok = self.take_log(reply);
                 if ok {
-                    self.mirror_read(sent);
+                    self.watch_cache_read(sent);
                 }
                 if number > 0 {
                     let wants = self.with_intake(|intake, context, _| intake.synced(context, number, ok));
@@ -577,54 +577,54 @@
         }
     }
 
-    fn mirror_page(&mut self, request: &StoreRequest, reply: StoreReply) {
+    fn watch_cache_page(&mut self, request: &StoreRequest, reply: StoreReply) {
         let StoreReply::Page(page) = reply else {
             self.reading = false;
-            self.mirror.restart();
+            self.watch_cache.restart();
             self.read_not_before = self.now + RETRY_MS;
             return;
         };
         let next = page.items.last().map(|entry| entry.key.clone());
         let prefix = self.keys.watched();
-        match (self.mirror.take_page(&self.keys, page), next) {
+        match (self.watch_cache.take_page(&self.keys, page), next) {
             (Some(changes), _) => {
                 self.reading = false;
-                self.mirror_changed(changes);
+                self.watch_cache_changed(changes);
             }
-            (None, Some(after)) => self.enqueue(Purpose::ReadMirror, StoreRequest::List { prefix, after }),
+            (None, Some(after)) => self.enqueue(Purpose::ReadWatchCache, StoreRequest::List { prefix, after }),
             (None, None) => tracing::error!(?request, "an empty page says that there is more"),
         }
     }
 
     fn take_log(&mut self, reply: StoreReply) -> bool {
         match reply {
-            StoreReply::Log(log) if self.mirror.complete => {
-                let changes = self.mirror.take_log(&self.keys, log.revision, log.events);
-                self.mirror_changed(changes);
+            StoreReply::Log(log) if self.watch_cache.complete => {
+                let changes = self.watch_cache.take_log(&self.keys, log.revision, log.events);
+                self.watch_cache_changed(changes);
                 true
             }
             StoreReply::TooOld => {
-                self.mirror.restart();
+                self.watch_cache.restart();
                 false
             }
             _ => false,
         }
     }
 
-    fn mirror_changed(&mut self, changes: Vec<MirrorChange>) {
+    fn watch_cache_changed(&mut self, changes: Vec<WatchedChange>) {
         for change in changes {
             match change {
-                MirrorChange::Owner => self.leader_changed(),
-                MirrorChange::Catalogue => {
-                    let value = self.mirror.catalogue.as_ref().map(|(value, _)| value.clone());
+                WatchedChange::Owner => self.leader_changed(),
+                WatchedChange::Catalogue => {
+                    let value = self.watch_cache.catalogue.as_ref().map(|(value, _)| value.clone());
                     match value.map(serde_json::from_value::<Catalogue>) {
                         Some(Ok(catalogue)) => self.set_catalogue(catalogue),
                         Some(Err(error)) => tracing::error!(%error, "the stored catalogue can't be read"),
                         None => {}
                     }
                 }
-                MirrorChange::Job(id) => self.job_changed(&id),
-                MirrorChange::JobGone(id) => {
+                WatchedChange::Job(id) => self.job_changed(&id),
+                WatchedChange::JobGone(id) => {
                     self.peers.counts.remove(&id);
                     if let Some(share) = &mut self.share {
                         share.gone.push(id);
@@ -643,7 +643,7 @@
     }
 
     fn job_changed(&mut self, id: &str) {
-        if let (Some(share), Some((key, version))) = (&mut self.share, self.mirror.jobs().get(id)) {
+        if let (Some(share), Some((key, version))) = (&mut self.share, self.watch_cache.jobs().get(id)) {
             share.job_changed(self.now, id, key, *version);
             self.place_wanted = true;
         }
@@ -670,7 +670,7 @@
             wall: self.wall,
             keys: &self.keys,
             limits: &self.settings.params.limits,
-            mirror: &self.mirror,
+            watch_cache: &self.watch_cache,
             claim,
             refuse: &refuse,
             counts: &counts,
@@ -705,8 +705,8 @@
                 }
                 Want::Learned { id, key, revision } => {
                     // The watch may have been faster, even to the job's end.
-                    if revision > self.mirror.revision {
-                        self.mirror.learn(&id, key, revision);
+                    if revision > self.watch_cache.revision {
+                        self.watch_cache.learn(&id, key, revision);
                         self.job_changed(&id);
                     }
                 }
@@ -742,7 +742,7 @@
     /// answered than refused.
     fn health(&mut self, request: u64) {
         let shared_outage = self.peers.most_in_reach(self.now) && self.peers.with_store(self.now).is_none();
-        let well = self.store_ok() || (self.mirror.complete && shared_outage);
+        let well = self.store_ok() || (self.watch_cache.complete && shared_outage);
         let answer = if well {
             crate::intake::text(200, "")
         } else {
--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -193,7 +193,7 @@
     }
 
     /// Takes over what the former owner left: machines first, then hires, then
-    /// every written firing. Jobs come by the mirror before these.
+    /// every written firing. Jobs come by the watch cache before these.
     pub fn load_group(&mut self, now: Millis, name: &str, entry: &Entry) {
         let Ok(value) = serde_json::from_value::<GroupValue>(entry.value.clone()) else {
             tracing::error!(key = entry.key, "a roster key can't be read");
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -1,6 +1,6 @@
 //! Submissions, polls and cancellations.
 //!
-//! Every answer that could be out of date is confirmed first: the mirror is
+//! Every answer that could be out of date is confirmed first: the watch cache is
 //! brought up to date by a read sent after the question came (one read serves
 //! all questions then waiting). Acceptances and cancellations are answered only
 //! once their create-once write is known to have succeeded.
@@ -13,7 +13,7 @@
 use crate::memory;
 use crate::peers::{Answer, Ask};
 use crate::settings::Limits;
-use crate::store::{JobKey, Keys, Mirror, StoreReply};
+use crate::store::{JobKey, Keys, StoreReply, WatchCache};
 use crate::wire::{Change, Condition, JobSpec, JobStatus, Standing, Transaction};
 use serde::Deserialize;
 use serde_json::json;
@@ -40,7 +40,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 enum Stage {
-    /// Until the mirror is as new as read number `.0`.
+    /// Until the watch cache is as new as read number `.0`.
     Sync(u64),
     /// The key of its end is being read.
     End,
@@ -91,7 +91,7 @@
     pub now: Millis,
     pub wall: Millis,
     pub keys: &'a Keys,
-    pub mirror: &'a Mirror,
+    pub watch_cache: &'a WatchCache,
     pub limits: &'a Limits,
     /// The owner's claim, while this controller is the acting owner.
     pub claim: Option<Condition>,
@@ -134,7 +134,7 @@
         if !valid_id(&id) {
             return vec![Want::Answer(asker, text(404, "no such job"))];
         }
-        if let Some(status) = self.final_state(context.mirror, &id) {
+        if let Some(status) = self.final_state(context.watch_cache, &id) {
             return vec![Want::Answer(asker, status_answer(200, &status))];
         }
         if self.ops.len() >= MAX_OPS {
@@ -181,12 +181,12 @@
         let Some(op) = self.ops.get_mut(&op_id) else {
             return Vec::new();
         };
-        let known = context.mirror.jobs().contains_key(&op.id);
+        let known = context.watch_cache.jobs().contains_key(&op.id);
         if let Some(Ok(spec)) = &op.spec
             && !known
         {
             match (context.refuse)(spec) {
-                Some(Ok(())) if !memory::has_room_for(context.limits, context.mirror, spec.tasks) => {
+                Some(Ok(())) if !memory::has_room_for(context.limits, context.watch_cache, spec.tasks) => {
                     return self.finish(op_id, busy("too much unfinished work"));
                 }
                 Some(Ok(())) => {
@@ -227,7 +227,7 @@
         Some(self.sync_sent)
     }
 
-    /// The confirming read `number` came back, and the mirror took it in.
+    /// The confirming read `number` came back, and the watch cache took it in.
     pub fn synced(&mut self, context: &IntakeContext, number: u64, ok: bool) -> Vec<Want> {
         self.sync_in_flight = false;
         let ready: Vec<u64> = self
@@ -251,10 +251,10 @@
         let Some(op) = self.ops.get_mut(&op_id) else {
             return Vec::new();
         };
-        if let Some(status) = final_in(context.mirror, &op.id) {
+        if let Some(status) = final_in(context.watch_cache, &op.id) {
             return self.finish(op_id, status_answer(200, &status));
         }
-        let Some((job, version)) = context.mirror.jobs().get(&op.id) else {
+        let Some((job, version)) = context.watch_cache.jobs().get(&op.id) else {
             op.stage = Stage::End;
             let key = context.keys.end(&op.id);
             return vec![Want::ReadEnd { op: op_id, key }];
@@ -422,11 +422,11 @@
     }
 
     /// How a job ended, if that is known here: it can't change any more.
-    fn final_state(&self, mirror: &Mirror, id: &str) -> Option<JobStatus> {
+    fn final_state(&self, watch_cache: &WatchCache, id: &str) -> Option<JobStatus> {
         if let Some(&(state, done)) = self.ended.get(id) {
             return Some(ended_status(id, state, done));
         }
-        final_in(mirror, id)
+        final_in(watch_cache, id)
     }
 
     pub fn len(&self) -> usize {
@@ -438,8 +438,8 @@
     }
 }
 
-fn final_in(mirror: &Mirror, id: &str) -> Option<JobStatus> {
-    let (job, _) = mirror.jobs().get(id)?;
+fn final_in(watch_cache: &WatchCache, id: &str) -> Option<JobStatus> {
+    let (job, _) = watch_cache.jobs().get(id)?;
     Some(ended_status(id, job.ended?, job.spec.tasks))
 }
 
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -3,7 +3,7 @@
 //! The figures are held by `tests/memory.rs`, which counts allocated bytes.
 
 use crate::settings::Limits;
-use crate::store::Mirror;
+use crate::store::WatchCache;
 
 /// A machine as the leader knows it, heard and without tasks.
 pub const MACHINE_BYTES: usize = 700;
@@ -21,7 +21,7 @@
 const UNFINISHED_PART: f64 = 0.25;
 
 /// Whether there is room for one more job of so many tasks.
-pub fn has_room_for(limits: &Limits, watched: &Mirror, tasks: u32) -> bool {
+pub fn has_room_for(limits: &Limits, watched: &WatchCache, tasks: u32) -> bool {
     let all_tasks = watched.tasks() + u64::from(tasks);
     let of_jobs = (watched.jobs().len() + 1) as f64 * JOB_BYTES as f64;
     let of_tasks = all_tasks as f64 / 1_000.0 * THOUSAND_TASKS_BYTES as f64;
--- a/src/memory/tests.rs
+++ b/src/memory/tests.rs
@@ -22,7 +22,7 @@
         memory_mb: 85.0,
         max_connections: 2_500,
     };
-    let mut watched = Mirror::default();
+    let mut watched = WatchCache::default();
     while has_room_for(&limits, &watched, tasks) {
         let number = watched.jobs().len();
         watched.learn(&format!("j-{number}"), job(number, tasks), 1);
@@ -45,7 +45,7 @@
 /// What was learned and forgotten again leaves nothing behind.
 #[test]
 fn a_job_learned_twice_counts_once() {
-    let mut watched = Mirror::default();
+    let mut watched = WatchCache::default();
     watched.learn("j-1", job(1, 10), 1);
     watched.learn("j-1", job(1, 30), 2);
     assert_eq!((watched.jobs().len(), watched.tasks()), (1, 30));
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -4,7 +4,7 @@
 //! claiming transaction also raises the term, which is the worker token. The
 //! lease's validity is reckoned from when the last successful renewal was
 //! *sent*, so it may be found lapsed early, never late. So is the age of the
-//! mirror: an owner that renews but no longer hears what users cancel through
+//! watch cache: an owner that renews but no longer hears what users cancel through
 //! others would keep their workers' leases alive, so it neither acts nor renews.
 //!
 //! In an outage that all share nobody can claim or confirm anything, and workers
@@ -13,7 +13,7 @@
 //! cancellations it knows (`held`). A single one missing ends it.
 
 use crate::Millis;
-use crate::store::{Keys, Mirror, OwnerValue};
+use crate::store::{Keys, OwnerValue, WatchCache};
 use crate::wire::{Change, Condition, Transaction};
 use serde_json::json;
 
@@ -52,17 +52,17 @@
     pub claim_version: u64,
     lease: Option<u64>,
     valid_until: Millis,
-    /// How old the mirror of the watched keys may be while the owner acts, and
+    /// How old the watch cache may be while the owner acts, and
     /// until when it is young enough.
-    mirror_age_ms: Millis,
-    mirror_until: Millis,
+    watch_cache_age_ms: Millis,
+    watch_cache_until: Millis,
     /// When the request now in flight was sent, if any.
     asked_at: Option<Millis>,
     next_renewal: Millis,
     hold_off_until: Millis,
     vacant_since: Option<Millis>,
-    /// A lapse was noticed, of the lease or of the mirror: acting again needs a
-    /// renewal and then a mirror that shows our claim.
+    /// A lapse was noticed, of the lease or of the watch cache: acting again needs a
+    /// renewal and then a watch cache that shows our claim.
     pub suspended: bool,
     /// Until when every other controller surely does not claim.
     held_until: Millis,
@@ -81,7 +81,7 @@
 }
 
 impl Ownership {
-    pub fn new(node: &str, life: u64, mirror_age_ms: Millis) -> Ownership {
+    pub fn new(node: &str, life: u64, watch_cache_age_ms: Millis) -> Ownership {
         Ownership {
             node: node.into(),
             life,
@@ -90,8 +90,8 @@
             claim_version: 0,
             lease: None,
             valid_until: 0,
-            mirror_age_ms,
-            mirror_until: 0,
+            watch_cache_age_ms,
+            watch_cache_until: 0,
             asked_at: None,
             next_renewal: 0,
             hold_off_until: 0,
@@ -104,13 +104,13 @@
         }
     }
 
-    /// True while the lease is surely ours and the mirror young enough.
+    /// True while the lease is surely ours and the watch cache young enough.
     pub fn proven(&self, now: Millis) -> bool {
         matches!(self.phase, Phase::Loading | Phase::Active) && !self.suspended && self.sure(now)
     }
 
     fn sure(&self, now: Millis) -> bool {
-        now < self.valid_until.min(self.mirror_until).max(self.held_until)
+        now < self.valid_until.min(self.watch_cache_until).max(self.held_until)
     }
 
     pub fn acting(&self, now: Millis) -> bool {
@@ -162,13 +162,13 @@
     }
 
     /// What to send now. `others_heard`: whether another controller is in reach.
-    pub fn poll(&mut self, now: Millis, mirror: &Mirror, others_heard: bool) -> Option<LeaseRequest> {
+    pub fn poll(&mut self, now: Millis, watch_cache: &WatchCache, others_heard: bool) -> Option<LeaseRequest> {
         if self.holds_claim() && !self.sure(now) && !self.suspended {
             let lease = now < self.valid_until;
             tracing::warn!(
                 term = self.term,
                 lease,
-                "the lease can't be shown valid, or the mirror new; acting no more"
+                "the lease can't be shown valid, or the watch cache new; acting no more"
             );
             self.suspended = true;
             self.renewed_again_at = None;
@@ -176,13 +176,13 @@
         match self.phase {
             Phase::Follower => {
                 let born_at = *self.born_at.get_or_insert(now);
-                if !mirror.complete {
+                if !watch_cache.complete {
                     return None;
                 }
                 // A claim by an earlier life of this process is as good as none.
-                let vacant = match &mirror.owner {
+                let vacant = match &watch_cache.owner {
                     // Where there never was an owner, nobody was promised anything.
-                    None => mirror.term.0 == 0 || now >= born_at + HOLD_MS + MARGIN_MS,
+                    None => watch_cache.term.0 == 0 || now >= born_at + HOLD_MS + MARGIN_MS,
                     Some((owner, _)) => self.was_mine(owner),
                 };
                 if !vacant {
@@ -201,7 +201,7 @@
             Phase::Granting | Phase::Claiming => None,
             Phase::Loading | Phase::Active => {
                 // One that can't read stands in the way of one that can.
-                if now < self.next_renewal || now >= self.mirror_until.max(self.held_until) {
+                if now < self.next_renewal || now >= self.watch_cache_until.max(self.held_until) {
                     return None;
                 }
                 self.next_renewal = now + RENEW_EVERY_MS;
@@ -212,20 +212,24 @@
 
     /// The claim, unless somebody else claimed while the lease was asked for: that
     /// owner acts until its own lease lapses.
-    pub fn granted(&mut self, lease: u64, sent: Millis, keys: &Keys, mirror: &Mirror) -> Option<Transaction> {
-        if mirror.owner.as_ref().is_some_and(|(owner, _)| !self.was_mine(owner)) {
+    pub fn granted(&mut self, lease: u64, sent: Millis, keys: &Keys, watch_cache: &WatchCache) -> Option<Transaction> {
+        if watch_cache
+            .owner
+            .as_ref()
+            .is_some_and(|(owner, _)| !self.was_mine(owner))
+        {
             return None;
         }
         self.lease = Some(lease);
         self.valid_until = sent + LEASE_MS - MARGIN_MS;
-        let version = mirror.owner.as_ref().map_or(0, |(_, version)| *version);
-        Some(self.claim(keys, version, mirror.term))
+        let version = watch_cache.owner.as_ref().map_or(0, |(_, version)| *version);
+        Some(self.claim(keys, version, watch_cache.term))
     }
 
     /// Claims once more over one's own claim: the term rises, and with it every
     /// command still on its way is withdrawn.
-    pub fn reclaim(&mut self, keys: &Keys, mirror: &Mirror) -> Transaction {
-        self.claim(keys, self.claim_version, mirror.term)
+    pub fn reclaim(&mut self, keys: &Keys, watch_cache: &WatchCache) -> Transaction {
+        self.claim(keys, self.claim_version, watch_cache.term)
     }
 
     fn claim(&mut self, keys: &Keys, owner_version: u64, (term, term_version): (u64, u64)) -> Transaction {
@@ -278,12 +282,12 @@
         }
     }
 
-    /// A read sent then brought the mirror up to date.
-    pub fn mirror_read(&mut self, sent: Millis) {
-        self.mirror_until = self.mirror_until.max(sent + self.mirror_age_ms);
+    /// A read sent then brought the watch cache up to date.
+    pub fn watch_cache_read(&mut self, sent: Millis) {
+        self.watch_cache_until = self.watch_cache_until.max(sent + self.watch_cache_age_ms);
     }
 
-    /// Suspended, and the mirror read that was sent then is newer than the
+    /// Suspended, and the watch cache read that was sent then is newer than the
     /// renewal: what it shows of the claim decides.
     pub fn may_resume(&self, now: Millis, read_sent: Millis) -> bool {
         let newer = self.renewed_again_at.is_some_and(|at| read_sent >= at);
--- a/src/ownership/tests.rs
+++ b/src/ownership/tests.rs
@@ -4,22 +4,22 @@
 
 const AGE_MS: Millis = 5_000;
 
-fn claimed(sent: Millis) -> (Ownership, Keys, Mirror) {
+fn claimed(sent: Millis) -> (Ownership, Keys, WatchCache) {
     let keys = Keys::new("pool");
-    let mut mirror = Mirror::default();
-    mirror.complete = true;
+    let mut watch_cache = WatchCache::default();
+    watch_cache.complete = true;
     let mut ownership = Ownership::new("a", 1, AGE_MS);
-    ownership.mirror_read(sent + LEASE_MS);
-    assert_eq!(ownership.poll(sent, &mirror, true), Some(LeaseRequest::Grant));
-    assert!(ownership.granted(9, sent, &keys, &mirror).is_some());
+    ownership.watch_cache_read(sent + LEASE_MS);
+    assert_eq!(ownership.poll(sent, &watch_cache, true), Some(LeaseRequest::Grant));
+    assert!(ownership.granted(9, sent, &keys, &watch_cache).is_some());
     ownership.claimed(5);
     ownership.phase = Phase::Active;
-    (ownership, keys, mirror)
+    (ownership, keys, watch_cache)
 }
 
 #[test]
 fn validity_counts_from_when_the_renewal_was_sent() {
-    let (mut ownership, _, mirror) = claimed(1_000);
+    let (mut ownership, _, watch_cache) = claimed(1_000);
     assert!(ownership.acting(1_000 + LEASE_MS - MARGIN_MS - 1));
     assert!(!ownership.acting(1_000 + LEASE_MS - MARGIN_MS));
     ownership.renewed(2_000, 2_000);
@@ -27,12 +27,12 @@
     // Guards against acting again on a renewal alone: after a lapse another
     // controller may have claimed and lost the share in between.
     let lapsed = 2_000 + LEASE_MS;
-    ownership.poll(lapsed, &mirror, true);
+    ownership.poll(lapsed, &watch_cache, true);
     ownership.renewed(lapsed + 1, lapsed);
     assert!(!ownership.acting(lapsed + 1));
-    // Nor is a read from before the renewal enough, or an old mirror.
+    // Nor is a read from before the renewal enough, or an old watch cache.
     assert!(!ownership.may_resume(lapsed + 1, lapsed));
-    ownership.mirror_read(lapsed + 1);
+    ownership.watch_cache_read(lapsed + 1);
     assert!(ownership.may_resume(lapsed + 2, lapsed + 1));
     ownership.resume();
     assert!(ownership.acting(lapsed + 2));
@@ -42,35 +42,38 @@
 /// cancellation: it held their leases, and the cancelled tasks, for as long as
 /// its reads were lost.
 #[test]
-fn an_owner_with_an_old_mirror_neither_acts_nor_renews() {
-    let (mut ownership, _, mirror) = claimed(0);
+fn an_owner_with_an_old_watch_cache_neither_acts_nor_renews() {
+    let (mut ownership, _, watch_cache) = claimed(0);
     let old = LEASE_MS + AGE_MS;
     ownership.renewed(old - 1, old - 1);
     assert!(ownership.acting(old - 1));
     assert!(!ownership.acting(old));
-    assert_eq!(ownership.poll(old, &mirror, true), None);
-    ownership.mirror_read(old);
-    assert_eq!(ownership.poll(old + 1, &mirror, true), Some(LeaseRequest::Renew(9)));
+    assert_eq!(ownership.poll(old, &watch_cache, true), None);
+    ownership.watch_cache_read(old);
+    assert_eq!(
+        ownership.poll(old + 1, &watch_cache, true),
+        Some(LeaseRequest::Renew(9))
+    );
     assert!(!ownership.acting(old + 1));
 }
 
 #[test]
 fn a_controller_that_hears_nobody_lets_others_claim_first() {
-    let mut mirror = Mirror::default();
-    mirror.complete = true;
+    let mut watch_cache = WatchCache::default();
+    watch_cache.complete = true;
     let mut ownership = Ownership::new("a", 1, AGE_MS);
-    assert_eq!(ownership.poll(0, &mirror, false), None);
+    assert_eq!(ownership.poll(0, &watch_cache, false), None);
     assert_eq!(
-        ownership.poll(ALONE_DELAY_MS, &mirror, false),
+        ownership.poll(ALONE_DELAY_MS, &watch_cache, false),
         Some(LeaseRequest::Grant)
     );
 }
 
 #[test]
 fn every_claim_raises_the_term_and_depends_on_it() {
-    let (mut ownership, keys, mirror) = claimed(0);
+    let (mut ownership, keys, watch_cache) = claimed(0);
     let first = ownership.term;
-    let transaction = ownership.reclaim(&keys, &mirror);
+    let transaction = ownership.reclaim(&keys, &watch_cache);
     assert!(ownership.term > first);
     assert!(transaction.conditions.iter().any(|c| c.key == keys.term()));
     assert!(
@@ -85,7 +88,7 @@
 /// runs. The promise counts from when it was asked for, and only without a break.
 #[test]
 fn an_owner_acts_as_long_as_all_others_promise_not_to_claim() {
-    let (mut ownership, _, mirror) = claimed(0);
+    let (mut ownership, _, watch_cache) = claimed(0);
     let lapse = LEASE_MS - MARGIN_MS;
     assert!(!ownership.asks_to_hold(HOLD_AFTER_MS - MARGIN_MS - 1));
     assert!(ownership.asks_to_hold(lapse - 500));
@@ -98,24 +101,24 @@
     // Late promises revive nothing: another may have been the owner meanwhile.
     ownership.held(until + 10, until + 5);
     assert!(!ownership.acting(until + 10));
-    ownership.poll(until + 10, &mirror, true);
+    ownership.poll(until + 10, &watch_cache, true);
     assert!(!ownership.promise(until + 10), "it may still be the owner");
 }
 
 #[test]
 fn a_controller_that_promised_does_not_claim_nor_does_its_next_life() {
-    let mut mirror = Mirror::default();
-    mirror.complete = true;
-    mirror.term = (3, 8);
+    let mut watch_cache = WatchCache::default();
+    watch_cache.complete = true;
+    watch_cache.term = (3, 8);
     let mut ownership = Ownership::new("a", 1, AGE_MS);
     let settled = HOLD_MS + MARGIN_MS;
     // A former life may have promised just before this one began.
-    assert_eq!(ownership.poll(0, &mirror, true), None);
-    assert_eq!(ownership.poll(settled - 1, &mirror, true), None);
+    assert_eq!(ownership.poll(0, &watch_cache, true), None);
+    assert_eq!(ownership.poll(settled - 1, &watch_cache, true), None);
     assert!(ownership.promise(settled - 1));
-    assert_eq!(ownership.poll(2 * settled - 2, &mirror, true), None);
+    assert_eq!(ownership.poll(2 * settled - 2, &watch_cache, true), None);
     assert_eq!(
-        ownership.poll(2 * settled - 1, &mirror, true),
+        ownership.poll(2 * settled - 1, &watch_cache, true),
         Some(LeaseRequest::Grant)
     );
     assert!(!ownership.promise(2 * settled), "it is about to claim");
@@ -127,18 +130,18 @@
 #[test]
 fn nobody_claims_over_a_claim_seen_while_the_lease_was_asked_for() {
     let keys = Keys::new("pool");
-    let mut mirror = Mirror::default();
-    mirror.complete = true;
+    let mut watch_cache = WatchCache::default();
+    watch_cache.complete = true;
     let mut ownership = Ownership::new("a", 1, AGE_MS);
-    assert_eq!(ownership.poll(0, &mirror, true), Some(LeaseRequest::Grant));
+    assert_eq!(ownership.poll(0, &watch_cache, true), Some(LeaseRequest::Grant));
     let claim = |node: &str, life| OwnerValue {
         node: node.into(),
         life,
         term: 1,
     };
-    mirror.owner = Some((claim("b", 2), 1));
-    assert_eq!(ownership.granted(9, 0, &keys, &mirror), None);
+    watch_cache.owner = Some((claim("b", 2), 1));
+    assert_eq!(ownership.granted(9, 0, &keys, &watch_cache), None);
     // One of its own earlier life is as good as none.
-    mirror.owner = Some((claim("a", 2), 1));
-    assert!(ownership.granted(9, 0, &keys, &mirror).is_some());
+    watch_cache.owner = Some((claim("a", 2), 1));
+    assert!(ownership.granted(9, 0, &keys, &watch_cache).is_some());
 }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -84,7 +84,7 @@
     },
     /// An owner that can't reach the state service asks all others not to claim
     /// for a while. `asked`: by its clock, which means nothing to another life of
-    /// it, hence the term; `revision`: what its mirror holds.
+    /// it, hence the term; `revision`: what its watch cache holds.
     Hold {
         share: String,
         term: u64,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -19,8 +19,8 @@
 const DRIFT: f64 = 1.002;
 const SETTLE_S: f64 = 1.0;
 /// Watched keys are read once a second; two reads in a row may fail.
-const LEAST_MIRROR_AGE_MS: crate::Millis = 2_500;
-const MOST_MIRROR_AGE_MS: crate::Millis = 5_000;
+const LEAST_WATCH_CACHE_AGE_MS: crate::Millis = 2_500;
+const MOST_WATCH_CACHE_AGE_MS: crate::Millis = 5_000;
 
 /// Memory that one connection takes at most while it is idle: the buffers of the
 /// HTTP library, its task and socket. Measured on this program with a thousand
@@ -166,10 +166,10 @@
     /// How old the owner's knowledge of cancellations may be while it answers
     /// workers: from the confirmation of a cancellation until the lease that the
     /// last answer renewed has surely lapsed, no more than `cancel_s` may pass.
-    pub fn mirror_age_ms(&self) -> crate::Millis {
+    pub fn watch_cache_age_ms(&self) -> crate::Millis {
         let workers = &self.params.workers;
         let rest_s = workers.cancel_s - workers.lease_s * DRIFT - SETTLE_S;
-        crate::millis(rest_s).clamp(LEAST_MIRROR_AGE_MS, MOST_MIRROR_AGE_MS)
+        crate::millis(rest_s).clamp(LEAST_WATCH_CACHE_AGE_MS, MOST_WATCH_CACHE_AGE_MS)
     }
 
     /// How many connections the limits on sockets and memory allow.
@@ -198,7 +198,7 @@
     /// What is odd but no reason not to start.
     pub fn warnings(&self) -> Vec<String> {
         let workers = &self.params.workers;
-        let least = workers.lease_s * DRIFT + SETTLE_S + LEAST_MIRROR_AGE_MS as f64 / 1000.0;
+        let least = workers.lease_s * DRIFT + SETTLE_S + LEAST_WATCH_CACHE_AGE_MS as f64 / 1000.0;
         if workers.cancel_s >= least {
             return Vec::new();
         }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,11 +1,11 @@
-//! The state service: key names, the rate budget, and a mirror of the watched
+//! The state service: key names, the rate budget, and a watch cache of the watched
 //! keys (claim, term, catalogue, unfinished jobs) that every controller holds.
 
 mod budget;
-mod mirror;
+mod watch_cache;
 
 pub use budget::Bucket;
-pub use mirror::{JobKey, Mirror, MirrorChange, OwnerValue};
+pub use watch_cache::{JobKey, OwnerValue, WatchCache, WatchedChange};
 
 use crate::wire::{Entry, Log, Page, Transaction};
 use serde_json::Value;
--- a/src/store/mirror.rs
+++ b/src/store/watch_cache.rs
@@ -23,7 +23,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub enum MirrorChange {
+pub enum WatchedChange {
     Owner,
     Catalogue,
     Job(String),
@@ -32,7 +32,7 @@
 
 /// A copy of the watched keys as of `revision`.
 #[derive(Debug, Default)]
-pub struct Mirror {
+pub struct WatchCache {
     pub revision: u64,
     /// False until the first full read, and again when a watch fell too far behind.
     pub complete: bool,
@@ -47,9 +47,9 @@
     reading: Option<(u64, Vec<Event>)>,
 }
 
-impl Mirror {
+impl WatchCache {
     /// Takes one page of a full read; gives the changes once it is the last.
-    pub fn take_page(&mut self, keys: &Keys, page: Page) -> Option<Vec<MirrorChange>> {
+    pub fn take_page(&mut self, keys: &Keys, page: Page) -> Option<Vec<WatchedChange>> {
         let (_, events) = self.reading.get_or_insert((page.revision, Vec::new()));
         events.extend(page.items.into_iter().map(|entry| Event {
             put: Some(entry.key),
@@ -61,9 +61,9 @@
             return None;
         }
         let (revision, events) = self.reading.take()?;
-        let mut changes: Vec<MirrorChange> = Vec::new();
+        let mut changes: Vec<WatchedChange> = Vec::new();
         if self.owner.take().is_some() {
-            changes.push(MirrorChange::Owner);
+            changes.push(WatchedChange::Owner);
         }
         let before = std::mem::take(&mut self.jobs);
         self.tasks = 0;
@@ -72,7 +72,7 @@
         }
         for id in before.into_keys() {
             if !self.jobs.contains_key(&id) {
-                changes.push(MirrorChange::JobGone(id));
+                changes.push(WatchedChange::JobGone(id));
             }
         }
         // Later pages may be newer than the first; the log from the first
@@ -87,7 +87,7 @@
         &self.jobs
     }
 
-    /// Tasks of all of [`Mirror::jobs`].
+    /// Tasks of all of [`WatchCache::jobs`].
     pub fn tasks(&self) -> u64 {
         self.tasks
     }
@@ -111,7 +111,7 @@
     }
 
     /// Applies a log that begins at or before our revision.
-    pub fn take_log(&mut self, keys: &Keys, revision: u64, events: Vec<Event>) -> Vec<MirrorChange> {
+    pub fn take_log(&mut self, keys: &Keys, revision: u64, events: Vec<Event>) -> Vec<WatchedChange> {
         let known = self.revision;
         let mut changes = Vec::new();
         for event in events {
@@ -124,7 +124,7 @@
         changes
     }
 
-    fn apply(&mut self, keys: &Keys, event: Event) -> Option<MirrorChange> {
+    fn apply(&mut self, keys: &Keys, event: Event) -> Option<WatchedChange> {
         let (key, gone) = match (event.put, event.delete) {
             (Some(key), _) => (key, false),
             (None, Some(key)) => (key, true),
@@ -134,7 +134,7 @@
         if let Some(id) = key.strip_prefix(&keys.jobs()) {
             if gone {
                 self.forget(id);
-                return Some(MirrorChange::JobGone(id.into()));
+                return Some(WatchedChange::JobGone(id.into()));
             }
             match serde_json::from_value(event.value) {
                 Ok(job) => self.learn(id, job, version),
@@ -143,7 +143,7 @@
                     return None;
                 }
             };
-            return Some(MirrorChange::Job(id.into()));
+            return Some(WatchedChange::Job(id.into()));
         }
         if key == keys.owner() {
             self.owner = if gone {
@@ -151,7 +151,7 @@
             } else {
                 serde_json::from_value(event.value).ok().map(|owner| (owner, version))
             };
-            return Some(MirrorChange::Owner);
+            return Some(WatchedChange::Owner);
         }
         if key == keys.term() && !gone {
             let term = event.value.get("term").and_then(|term| term.as_u64());
@@ -159,7 +159,7 @@
         }
         if key == keys.catalogue() && !gone {
             self.catalogue = Some((event.value, version));
-            return Some(MirrorChange::Catalogue);
+            return Some(WatchedChange::Catalogue);
         }
         None
     }
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -10,7 +10,7 @@
 use sumacbend::memory;
 use sumacbend::policy::Policy;
 use sumacbend::settings::Settings;
-use sumacbend::store::{JobKey, Keys, Mirror};
+use sumacbend::store::{JobKey, Keys, WatchCache};
 use sumacbend::wire::{Catalogue, Event, MachineType, Report, Standing, TaskReport};
 use sumacbend::workers::Path;
 
@@ -171,11 +171,11 @@
     let _turn = TURN.lock();
     let mut share = share();
     let bytes = bytes_each(JOBS, || {
-        let mirror = watched(JOBS, None);
-        for (id, (key, version)) in mirror.jobs() {
+        let watch_cache = watched(JOBS, None);
+        for (id, (key, version)) in watch_cache.jobs() {
             share.job_changed(0, id, key, *version);
         }
-        mirror
+        watch_cache
     });
     assert_close(bytes, memory::JOB_BYTES);
 }
@@ -199,9 +199,9 @@
     assert_close(bytes, memory::ENDED_JOB_BYTES);
 }
 
-fn watched(jobs: usize, ended: Option<Standing>) -> Mirror {
+fn watched(jobs: usize, ended: Option<Standing>) -> WatchCache {
     let keys = Keys::new("pool");
-    let mut mirror = Mirror::default();
+    let mut watch_cache = WatchCache::default();
     for number in 0..jobs {
         let key = JobKey {
             ended,
@@ -213,7 +213,7 @@
             value: json!(key),
             version: number as u64 + 1,
         };
-        mirror.take_log(&keys, number as u64 + 1, vec![event]);
+        watch_cache.take_log(&keys, number as u64 + 1, vec![event]);
     }
-    mirror
+    watch_cache
 }
--- a/tests/rules/meetings.rs
+++ b/tests/rules/meetings.rs
@@ -475,7 +475,7 @@
             (at + rng.random_range(1_000..20_000), Trouble::CancelNow { hang_ms: 0 }),
         ]
     });
-    // The mirror's age, the lease of the claim, a take-over, a round of reports.
+    // The watch cache's age, the lease of the claim, a take-over, a round of reports.
     let longest = played.iter().map(|world| world.longest_cancelled).max();
     assert!(
         longest.is_some_and(|ms| ms > 0 && ms < 5_000 + 4_000 + 2_000 + 4_000),
