--- a/benches/costs.rs
+++ b/benches/costs.rs
@@ -7,7 +7,7 @@
 
 use divan::{AllocProfiler, Bencher, black_box};
 use site::{MACHINES, Site, TERM, peer, report};
-use sumacbend::controller::{Input, Share};
+use sumacbend::controller::{Input, Shard};
 use sumacbend::peers::{Ask, Message, ReportReply};
 use sumacbend::policy::Policy;
 use sumacbend::store::Keys;
@@ -43,25 +43,25 @@
 fn relay(first: usize, count: usize, seq: u64) -> Input {
     let reports = (first..first + count).map(|machine| (machine as u64, report(machine % MACHINES, seq)));
     peer(Message::Relay {
-        share: "pool".into(),
+        shard: "pool".into(),
         reports: reports.collect(),
     })
 }
 
 /// A leader's state without the leader: all machines heard, and jobs that wait.
-fn share(jobs: usize, priority: &str) -> Share {
-    let mut share = Share::new("pool", TERM, &site::settings(), &Policy::default());
-    share.set_catalogue(&site::catalogue());
+fn shard(jobs: usize, priority: &str) -> Shard {
+    let mut shard = Shard::new("pool", TERM, &site::settings(), &Policy::default());
+    shard.set_catalogue(&site::catalogue());
     for machine in 0..MACHINES {
-        share.add_machine(0, &site::machine_name(machine), "pantry-rack", "north", true);
+        shard.add_machine(0, &site::machine_name(machine), "pantry-rack", "north", true);
         let heard = Report {
             tasks: Vec::new(),
             ..report(machine, 1)
         };
-        share.merge_report(0, &heard, Path::Answered);
+        shard.merge_report(0, &heard, Path::Answered);
     }
-    for ix in share.machines.indices() {
-        if let Some(machine) = share.machines.get_mut(ix) {
+    for ix in shard.machines.indices() {
+        if let Some(machine) = shard.machines.get_mut(ix) {
             machine.written = true;
             // The rounds below jump ahead in time.
             machine.report_due = u64::MAX;
@@ -69,16 +69,16 @@
     }
     for number in 0..jobs {
         let key = site::job_key(number, priority);
-        share.job_changed(0, &key.spec.id, &key, 1);
+        shard.job_changed(0, &key.spec.id, &key, 1);
     }
-    share
+    shard
 }
 
 /// Places tasks until no machine has room. Gives the time at which that is so.
-fn fill(share: &mut Share) -> u64 {
+fn fill(shard: &mut Shard) -> u64 {
     let mut now = 0;
     for _ in 0..100 {
-        share.place(now);
+        shard.place(now);
         now += 2_000;
     }
     now
@@ -183,11 +183,11 @@
     /// Nothing fits: the machines are full and jobs wait.
     #[divan::bench]
     fn placement_round_without_room(bencher: Bencher) {
-        let mut share = share(400, "high");
-        let mut now = fill(&mut share);
+        let mut shard = shard(400, "high");
+        let mut now = fill(&mut shard);
         bencher.bench_local(|| {
             now += 1;
-            share.place(now);
+            shard.place(now);
         });
     }
 
@@ -195,8 +195,8 @@
     #[divan::bench(sample_count = 20, sample_size = 1)]
     fn placement_round_with_200_starts(bencher: Bencher) {
         bencher
-            .with_inputs(|| share(400, "high"))
-            .bench_local_refs(|share| share.place(0));
+            .with_inputs(|| shard(400, "high"))
+            .bench_local_refs(|shard| shard.place(0));
     }
 
     /// Urgent jobs wait while work of low priority fills all machines.
@@ -204,16 +204,16 @@
     fn preemption_search(bencher: Bencher) {
         bencher
             .with_inputs(|| {
-                let mut share = share(400, "low");
-                let now = fill(&mut share);
+                let mut shard = shard(400, "low");
+                let now = fill(&mut shard);
                 for number in 5_000..5_100 {
                     let key = site::job_key(number, "high");
-                    share.job_changed(0, &key.spec.id, &key, 1);
+                    shard.job_changed(0, &key.spec.id, &key, 1);
                 }
-                share.place(now);
-                (share, now + 1_000)
+                shard.place(now);
+                (shard, now + 1_000)
             })
-            .bench_local_refs(|(share, now)| share.preempt(*now));
+            .bench_local_refs(|(shard, now)| shard.preempt(*now));
     }
 
     /// Built, written as JSON, and its answer taken in.
@@ -222,25 +222,25 @@
         let keys = Keys::new("pool");
         bencher
             .with_inputs(|| {
-                let mut share = share(400, "high");
-                share.place(0);
-                share
+                let mut shard = shard(400, "high");
+                shard.place(0);
+                shard
             })
-            .bench_local_refs(|share| {
+            .bench_local_refs(|shard| {
                 let claim = Condition {
                     key: keys.leader(),
                     version: 1,
                 };
-                let transaction = share.next_transaction(0, &keys, claim, 48, 48).expect("due");
+                let transaction = shard.next_transaction(0, &keys, claim, 48, 48).expect("due");
                 black_box(serde_json::to_vec(&*transaction).expect("written"));
-                share.committed(0, &keys, 5);
+                shard.committed(0, &keys, 5);
             });
     }
 
     /// A page of 500 machines of the cloud's list, its JSON included.
     #[divan::bench]
     fn cloud_list_500(bencher: Bencher) {
-        let mut share = share(0, "high");
+        let mut shard = shard(0, "high");
         let machines = (0..500).map(|number| ListedMachine {
             id: site::machine_name(number),
             address: Some(report(number, 1).address),
@@ -257,7 +257,7 @@
         let body = serde_json::to_vec(&list).expect("written");
         bencher.bench_local(|| {
             let list: MachineList = serde_json::from_slice(&body).expect("read");
-            share.listed(0, &list.machines, false);
+            shard.listed(0, &list.machines, false);
         });
     }
 
@@ -285,7 +285,7 @@
         bencher.bench_local(|| {
             let reports = (0..BATCH as u64).map(|id| (id, serde_json::from_slice(&body).expect("read")));
             let message = Message::Relay {
-                share: "pool".into(),
+                shard: "pool".into(),
                 reports: reports.collect(),
             };
             black_box(rmp_serde::to_vec(&message).expect("written"));
@@ -326,7 +326,7 @@
         let mut site = Site::new(true);
         let message = Message::Heartbeat {
             node: "n1".into(),
-            share: "pool".into(),
+            shard: "pool".into(),
             leads_term: Some(TERM),
             store_ok: true,
         };
--- a/benches/site/mod.rs
+++ b/benches/site/mod.rs
@@ -169,7 +169,7 @@
     fn heartbeat(&mut self, leads_term: Option<u64>) {
         let message = Message::Heartbeat {
             node: "n1".into(),
-            share: "pool".into(),
+            shard: "pool".into(),
             leads_term,
             store_ok: true,
         };
--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -73,11 +73,11 @@
             };
             self.cloud(Call::Hire(value.request), CloudRequest::Hire(request));
         }
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return;
         };
-        if !share.fleet.listing && now >= share.fleet.listed_at + LIST_EVERY_MS && self.cloud.rate.ready(now) {
-            share.fleet.listing = true;
+        if !shard.fleet.listing && now >= shard.fleet.listed_at + LIST_EVERY_MS && self.cloud.rate.ready(now) {
+            shard.fleet.listing = true;
             let after = self.cloud.list_after.clone();
             self.cloud(Call::List, CloudRequest::List { after });
         }
@@ -86,7 +86,7 @@
     /// A written hire that is due, now taken to be in flight.
     fn next_hire(&mut self) -> Option<HireValue> {
         let now = self.now;
-        let hires = &mut self.share.as_mut()?.fleet.hires;
+        let hires = &mut self.shard.as_mut()?.fleet.hires;
         let hire = hires
             .iter_mut()
             .find(|hire| !hire.in_flight && now >= hire.not_before)?;
@@ -96,14 +96,14 @@
 
     pub(super) fn delete_condemned(&mut self) {
         let now = self.now;
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return;
         };
-        if share.fleet.deleting || now < share.fleet.delete_not_before || !self.cloud.rate.ready(now) {
+        if shard.fleet.deleting || now < shard.fleet.delete_not_before || !self.cloud.rate.ready(now) {
             return;
         }
         let mut names = Vec::new();
-        for (_, machine) in share.machines.iter() {
+        for (_, machine) in shard.machines.iter() {
             if machine.condemned && names.len() < MAX_DELETE {
                 names.push(machine.name.clone());
             }
@@ -111,7 +111,7 @@
         if names.is_empty() {
             return;
         }
-        share.fleet.deleting = true;
+        shard.fleet.deleting = true;
         let request = MachineNames {
             machines: names.clone(),
         };
@@ -141,33 +141,33 @@
             (Call::Catalogue, _) => self.cloud.catalogue_due = now + RETRY_MS,
             (Call::Hire(request), reply) => self.hire_answered(&request, reply),
             (Call::Delete(names), reply) => {
-                let Some(share) = &mut self.share else {
+                let Some(shard) = &mut self.shard else {
                     return;
                 };
-                share.fleet.deleting = false;
+                shard.fleet.deleting = false;
                 if reply == CloudReply::Deleted {
-                    share.machines_gone(now, &names);
+                    shard.machines_gone(now, &names);
                     self.place_wanted = true;
                 } else {
-                    share.fleet.delete_not_before = now + RETRY_MS;
+                    shard.fleet.delete_not_before = now + RETRY_MS;
                 }
             }
             (Call::List, reply) => {
-                let Some(share) = &mut self.share else {
+                let Some(shard) = &mut self.shard else {
                     return;
                 };
-                share.fleet.listing = false;
+                shard.fleet.listing = false;
                 let CloudReply::Listed(list) = reply else {
-                    share.fleet.listed_at = now;
+                    shard.fleet.listed_at = now;
                     self.cloud.list_after.clear();
                     return;
                 };
-                share.listed(now, &list.machines, !list.more);
+                shard.listed(now, &list.machines, !list.more);
                 match list.machines.last() {
                     Some(last) if list.more => self.cloud.list_after = last.id.clone(),
                     _ => {
                         self.cloud.list_after.clear();
-                        share.fleet.listed_at = now;
+                        shard.fleet.listed_at = now;
                     }
                 }
             }
@@ -176,13 +176,13 @@
 
     fn hire_answered(&mut self, request: &str, reply: CloudReply) {
         let now = self.now;
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return;
         };
-        let Some(position) = share.fleet.hires.iter().position(|hire| hire.value.request == request) else {
+        let Some(position) = shard.fleet.hires.iter().position(|hire| hire.value.request == request) else {
             return;
         };
-        let hire = &mut share.fleet.hires[position];
+        let hire = &mut shard.fleet.hires[position];
         let got = match reply {
             CloudReply::Hired(names) => names.machines,
             CloudReply::NoCapacity | CloudReply::Malformed => Vec::new(),
@@ -194,7 +194,7 @@
                 return;
             }
         };
-        let hire = share.fleet.hires.remove(position);
+        let hire = shard.fleet.hires.remove(position);
         let value = hire.value;
         tracing::info!(
             machine_type = value.machine_type,
@@ -205,18 +205,18 @@
             "hired"
         );
         if got.len() < value.count as usize
-            && let (Some(type_ix), Some(zone)) = (share.types.get(&value.machine_type), share.zones.get(&value.zone))
+            && let (Some(type_ix), Some(zone)) = (shard.types.get(&value.machine_type), shard.zones.get(&value.zone))
         {
-            share
+            shard
                 .fleet
                 .refused
                 .insert((type_ix, zone, value.spot), now + REFUSED_MS);
         }
         for name in &got {
-            if share.machines.find(name).is_none() && !share.tombstones.contains_key(name) {
-                share.add_machine(now, name, &value.machine_type, &value.zone, value.spot);
+            if shard.machines.find(name).is_none() && !shard.tombstones.contains_key(name) {
+                shard.add_machine(now, name, &value.machine_type, &value.zone, value.spot);
             }
         }
-        share.ledger.settled.push_back((value.request, hire.version));
+        shard.ledger.settled.push_back((value.request, hire.version));
     }
 }
--- a/src/controller/commits.rs
+++ b/src/controller/commits.rs
@@ -71,12 +71,12 @@
 impl Controller {
     /// Writes what is due in one transaction, if none is in flight.
     pub(super) fn commit(&mut self) {
-        let pressing = self.share.as_ref().is_some_and(|share| share.starts_wait());
+        let pressing = self.shard.as_ref().is_some_and(|shard| shard.starts_wait());
         let due = pressing || self.now >= self.committed_at + COMMIT_ANYWAY_MS;
         let in_flight = self
-            .share
+            .shard
             .as_ref()
-            .is_some_and(|share| share.ledger.in_flight.is_some());
+            .is_some_and(|shard| shard.ledger.in_flight.is_some());
         if !due || in_flight || self.raising || !self.writes.ready(self.now) || !self.requests.ready(self.now) {
             return;
         }
@@ -84,10 +84,10 @@
         let claim = self.election.condition(&self.keys);
         let max_ops = self.settings.params.state.txn_ops as usize;
         let spare = (self.writes.level(self.now) as usize).max(1);
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return;
         };
-        if let Some(transaction) = share.next_transaction(self.now, &self.keys, claim, max_ops, spare) {
+        if let Some(transaction) = shard.next_transaction(self.now, &self.keys, claim, max_ops, spare) {
             self.enqueue(Purpose::Commit, StoreRequest::Transact(transaction));
         }
     }
@@ -105,13 +105,13 @@
     }
 
     fn committed(&mut self, revision: u64) {
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return;
         };
-        let committed = share.committed(self.now, &self.keys, revision);
-        share.to_push.extend(committed.push);
+        let committed = shard.committed(self.now, &self.keys, revision);
+        shard.to_push.extend(committed.push);
         for (value, version) in committed.hires {
-            share.fleet.hires.push(crate::fleet::Hire {
+            shard.fleet.hires.push(crate::fleet::Hire {
                 value,
                 version,
                 in_flight: false,
@@ -119,13 +119,13 @@
             });
         }
         // A cancel may have come while this was written.
-        share.drop_unwritten(self.now);
+        shard.drop_unwritten(self.now);
         self.place_wanted = true;
     }
 
     /// The same transaction once more. `lost`: the last copy may be carried out yet.
     fn commit_again(&mut self, lost: bool) {
-        let Some(flight) = self.share.as_mut().and_then(|share| share.ledger.in_flight.as_mut()) else {
+        let Some(flight) = self.shard.as_mut().and_then(|shard| shard.ledger.in_flight.as_mut()) else {
             return;
         };
         flight.uncertain |= lost;
@@ -137,7 +137,7 @@
         if self.check_claim_in(request, failed) {
             return;
         }
-        let Some(flight) = self.share.as_ref().and_then(|share| share.ledger.in_flight.as_ref()) else {
+        let Some(flight) = self.shard.as_ref().and_then(|shard| shard.ledger.in_flight.as_ref()) else {
             return;
         };
         if !flight.uncertain {
@@ -184,8 +184,8 @@
 
     /// A cancel was faster. The watch cache will say so.
     fn not_applied(&mut self) {
-        if let Some(share) = &mut self.share {
-            share.not_applied();
+        if let Some(shard) = &mut self.shard {
+            shard.not_applied();
         }
         self.sync(0);
     }
@@ -193,8 +193,8 @@
     /// What is written is not what was thought.
     fn read_everything_again(&mut self) {
         tracing::warn!("reading everything again");
-        if let Some(share) = &mut self.share {
-            share.not_applied();
+        if let Some(shard) = &mut self.shard {
+            shard.not_applied();
         }
         self.reclaim_wanted = true;
         self.reclaimed_at = 0;
--- a/src/controller/commits/tests.rs
+++ b/src/controller/commits/tests.rs
@@ -1,4 +1,4 @@
-use super::super::{Output, Phase, share_with};
+use super::super::{Output, Phase, shard_with};
 use super::*;
 use crate::policy::Policy;
 use crate::settings::{Settings, tests::SAMPLE};
@@ -11,16 +11,16 @@
 fn leader_with_an_unanswered_firing() -> (Controller, u64) {
     let settings = Settings::parse(SAMPLE).expect("valid settings");
     let mut controller = Controller::new(settings, Policy::default(), 7);
-    let mut share = share_with(3, &[("small", 8.0)], 1, true);
-    let machine = share.add_machine(0, "host-1", "small", "north", true);
-    let machine = share.machines.get_mut(machine).expect("there");
+    let mut shard = shard_with(3, &[("small", 8.0)], 1, true);
+    let machine = shard.add_machine(0, "host-1", "small", "north", true);
+    let machine = shard.machines.get_mut(machine).expect("there");
     machine.written = true;
     machine.heard_at = Some(START);
     machine.report_due = Millis::MAX;
-    share.roster.urgent.clear();
-    share.place(START);
+    shard.roster.urgent.clear();
+    shard.place(START);
     controller.now = START;
-    controller.share = Some(share);
+    controller.shard = Some(shard);
     controller.election.phase = Phase::Active;
     controller.commit();
     controller.send_queued();
@@ -59,9 +59,9 @@
 
 fn firing_in_flight(controller: &Controller) -> Value {
     let flight = controller
-        .share
+        .shard
         .as_ref()
-        .and_then(|share| share.ledger.in_flight.as_ref());
+        .and_then(|shard| shard.ledger.in_flight.as_ref());
     let changes = &flight.expect("in flight").transaction.changes;
     let value = changes.iter().find_map(|change| match change {
         Change::Put { put, value, .. } if put.contains("firing") => Some(value.clone()),
@@ -71,16 +71,16 @@
 }
 
 fn chunk_version(controller: &Controller) -> u64 {
-    let share = controller.share.as_ref().expect("leads");
-    let job = share.jobs.find("j-1").and_then(|ix| share.jobs.get(ix));
+    let shard = controller.shard.as_ref().expect("leads");
+    let job = shard.jobs.find("j-1").and_then(|ix| shard.jobs.get(ix));
     job.expect("known").chunks[0].version
 }
 
 fn in_flight(controller: &Controller) -> bool {
     controller
-        .share
+        .shard
         .as_ref()
-        .is_some_and(|share| share.ledger.in_flight.is_some())
+        .is_some_and(|shard| shard.ledger.in_flight.is_some())
 }
 
 /// Guards against a read of everything under a new term for each transaction
@@ -93,8 +93,8 @@
     step(&mut controller, look, StoreReply::Found { value, version: 12 });
     assert!(!in_flight(&controller) && !controller.reclaim_wanted);
     assert_eq!(chunk_version(&controller), 12);
-    let share = controller.share.as_ref().expect("leads");
-    assert!(share.attempts.iter().all(|(_, attempt)| attempt.written));
+    let shard = controller.shard.as_ref().expect("leads");
+    assert!(shard.attempts.iter().all(|(_, attempt)| attempt.written));
 }
 
 #[test]
@@ -103,9 +103,9 @@
     let look = conflict(&mut controller, second, "live/pool/job/j-1");
     step(&mut controller, look, StoreReply::Missing);
     assert!(!in_flight(&controller) && !controller.reclaim_wanted);
-    let share = controller.share.as_ref().expect("leads");
-    assert!(share.starts_wait());
-    assert!(share.attempts.iter().all(|(_, attempt)| !attempt.written));
+    let shard = controller.shard.as_ref().expect("leads");
+    assert!(shard.starts_wait());
+    assert!(shard.attempts.iter().all(|(_, attempt)| !attempt.written));
 }
 
 #[test]
--- a/src/controller/follower.rs
+++ b/src/controller/follower.rs
@@ -1,7 +1,7 @@
 //! What every controller does beside leading: answering peers, relaying the
 //! reports of workers to the leader, and handing its commands to them.
 
-use super::{Controller, Output, SHARE};
+use super::{Controller, Output, SHARD};
 use crate::Millis;
 use crate::intake::{Asker, busy};
 use crate::peers::{Answer, Message, ReportReply, WorkerReply};
@@ -141,7 +141,7 @@
                         self.outputs.push(Output::Peer {
                             node: leader.clone(),
                             message: Message::Relay {
-                                share: SHARE.into(),
+                                shard: SHARD.into(),
                                 reports: std::mem::replace(&mut reports, rest),
                             },
                         });
@@ -172,22 +172,22 @@
     pub(super) fn peer(&mut self, node: String, message: Message) {
         match message {
             Message::Heartbeat {
-                share,
+                shard,
                 leads_term,
                 store_ok,
                 ..
             } => {
-                let leads_term = leads_term.filter(|_| share == SHARE);
+                let leads_term = leads_term.filter(|_| shard == SHARD);
                 self.peers.heartbeat(self.now, &node, leads_term, store_ok);
             }
-            Message::Forward { share, id, ask } => {
+            Message::Forward { shard, id, ask } => {
                 let asker = Asker::Peer { node: node.clone(), id };
-                if share != SHARE {
+                if shard != SHARD {
                     self.outputs.push(Output::Peer {
                         node,
                         message: Message::Forwarded {
                             id,
-                            answer: busy("another share"),
+                            answer: busy("another shard"),
                         },
                     });
                     return;
@@ -235,8 +235,8 @@
                     self.worker_reply(id, reply);
                 }
             }
-            Message::Counts { share, counts } => {
-                if share == SHARE {
+            Message::Counts { shard, counts } => {
+                if shard == SHARD {
                     let counts = counts.into_iter().map(|(id, done, running)| (id, (done, running)));
                     self.peers.counts = counts.collect();
                 }
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -1,6 +1,6 @@
 //! What the leader does: claiming, loading, writing, commanding.
 
-use super::{Controller, Loading, Output, Purpose, SHARE, Share, WorkerReply};
+use super::{Controller, Loading, Output, Purpose, SHARD, Shard, WorkerReply};
 use crate::Millis;
 use crate::election::Phase;
 use crate::ids::Ix;
@@ -25,7 +25,7 @@
 /// Raising the term costs a fresh start, so not more often than this.
 const RECLAIM_EVERY_MS: Millis = 8_000;
 /// A leader that hears nobody, no controller and no worker, for this long
-/// gives the share up for another to take.
+/// gives the shard up for another to take.
 const ISOLATED_MS: Millis = 4_000;
 const ISOLATED_HOLD_OFF_MS: Millis = 6_000;
 /// After this long without acting (the state service was out, or this process
@@ -49,14 +49,14 @@
             return;
         };
         if self.election.holds_claim() && leader.term > self.election.term {
-            tracing::warn!(by = leader.node, version, "somebody else owns the share");
+            tracing::warn!(by = leader.node, version, "somebody else leads the shard");
             self.follow(0);
         }
     }
 
     pub(super) fn follow(&mut self, hold_off: Millis) {
         self.election.step_down(self.now, hold_off);
-        self.share = None;
+        self.shard = None;
         self.reclaim_wanted = false;
         self.raising = false;
         self.cloud.forget();
@@ -123,11 +123,11 @@
         self.queue.retain(|queued| !leaders(&queued.purpose));
         self.cloud.forget();
         self.pushes.clear();
-        let mut share = Share::new(SHARE, self.election.term, &self.settings, &self.policy);
+        let mut shard = Shard::new(SHARD, self.election.term, &self.settings, &self.policy);
         if let Some(catalogue) = &self.catalogue {
-            share.set_catalogue(catalogue);
+            shard.set_catalogue(catalogue);
         }
-        self.share = Some(share);
+        self.shard = Some(shard);
         self.load(Loading::Machines, String::new());
     }
 
@@ -137,13 +137,13 @@
     fn raised(&mut self) {
         self.raising = false;
         self.election.phase = Phase::Active;
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return;
         };
-        share.term = self.election.term;
-        let doubtful = share.machines.iter().filter(|(_, machine)| machine.doubt > 0);
+        shard.term = self.election.term;
+        let doubtful = shard.machines.iter().filter(|(_, machine)| machine.doubt > 0);
         let doubtful: Vec<Ix> = doubtful.map(|(ix, _)| ix).collect();
-        share.to_push.extend(doubtful);
+        shard.to_push.extend(doubtful);
         self.place_wanted = true;
     }
 
@@ -180,14 +180,14 @@
             });
             return;
         };
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return;
         };
         let next = page.items.last().map(|entry| entry.key.clone());
         for entry in &page.items {
             match part {
-                Loading::Machines => share.load_group(self.now, tail(entry, &self.keys.rosters()), entry),
-                Loading::Hires => share.load_hire(entry),
+                Loading::Machines => shard.load_group(self.now, tail(entry, &self.keys.rosters()), entry),
+                Loading::Hires => shard.load_hire(entry),
                 Loading::WatchCache => {}
                 Loading::Firings => {
                     let name = tail(entry, &self.keys.firings()).to_owned();
@@ -197,10 +197,10 @@
                     // The job may be newer than the watch cache, which is brought up
                     // to date before firings are read; if it is still missing,
                     // it was cleaned up while these pages were read.
-                    if share.jobs.find(job).is_some()
+                    if shard.jobs.find(job).is_some()
                         && let Ok(number) = number.parse()
                     {
-                        share.load_chunk(self.now, job, number, entry);
+                        shard.load_chunk(self.now, job, number, entry);
                     }
                 }
             }
@@ -223,28 +223,28 @@
         if !self.take_log(reply.clone()) {
             return false;
         }
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return false;
         };
         for (id, (key, version)) in self.watch_cache.jobs() {
-            share.job_changed(self.now, id, key, *version);
+            shard.job_changed(self.now, id, key, *version);
         }
         true
     }
 
     fn loaded(&mut self) {
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return;
         };
-        share.loaded();
+        shard.loaded();
         // Asking each machine straight away spares a report interval.
-        share.to_push.extend(share.machines.indices());
+        shard.to_push.extend(shard.machines.indices());
         tracing::info!(
             term = self.election.term,
-            jobs = share.jobs.len(),
-            machines = share.machines.len(),
+            jobs = shard.jobs.len(),
+            machines = shard.machines.len(),
             took_ms = self.now - self.loading_since,
-            "took over the share"
+            "took over the shard"
         );
         self.election.phase = Phase::Active;
         self.place_wanted = true;
@@ -317,14 +317,14 @@
     }
 
     pub(super) fn advance_leader(&mut self) {
-        if !self.election.acting(self.now) || self.share.is_none() {
+        if !self.election.acting(self.now) || self.shard.is_none() {
             if self.election.phase == Phase::Loading && self.now > self.load_heard_at + LOAD_PATIENCE_MS {
                 self.follow(500);
             }
             return;
         }
         if self.is_isolated() {
-            tracing::warn!("hearing no controller and no worker; giving the share up");
+            tracing::warn!("hearing no controller and no worker; giving the shard up");
             let transaction = Transaction {
                 conditions: vec![self.election.condition(&self.keys)],
                 changes: vec![Change::delete(self.keys.leader())],
@@ -336,19 +336,19 @@
         if self.reclaim() {
             return;
         }
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return;
         };
-        share.wall = self.wall;
+        shard.wall = self.wall;
         if self.now > self.acted_at + UNHEARD_MS {
-            share.hearing_since = self.now;
+            shard.hearing_since = self.now;
         }
         self.acted_at = self.now;
         if self.now >= self.maintained_at + MAINTENANCE_EVERY_MS {
             self.maintained_at = self.now;
-            share.close_lapsed(self.now);
-            share.drain(self.now);
-            share.plan_fleet(self.now);
+            shard.close_lapsed(self.now);
+            shard.drain(self.now);
+            shard.plan_fleet(self.now);
             self.give_up_pushes();
             self.delete_condemned();
         }
@@ -362,11 +362,11 @@
     /// A round of placement, if one is due. What a round costs grows with the
     /// machines and jobs that it looks at, so rounds are rarer with many.
     fn place(&mut self) {
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return;
         };
-        self.place_wanted |= std::mem::take(&mut share.room_changed);
-        let size = share.machines.len() + share.jobs.len();
+        self.place_wanted |= std::mem::take(&mut shard.room_changed);
+        let size = shard.machines.len() + shard.jobs.len();
         let due = if self.place_wanted {
             PLACE_EVERY_MS + size as Millis / 20
         } else {
@@ -375,11 +375,11 @@
         if self.now >= self.placed_at + due {
             self.placed_at = self.now;
             self.place_wanted = false;
-            share.place(self.now);
+            shard.place(self.now);
             // On promises alone nothing can be written, and so nothing started in
             // place of what would be stopped.
             if self.election.lease_valid(self.now) {
-                share.preempt(self.now);
+                shard.preempt(self.now);
             }
         }
     }
@@ -393,20 +393,20 @@
 
     /// Starts a new term over the own claim where one is called for.
     fn reclaim(&mut self) -> bool {
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return false;
         };
-        let wanted = self.reclaim_wanted || share.withdraw;
+        let wanted = self.reclaim_wanted || shard.withdraw;
         // Claiming gives up what the others promised, and can't succeed in an outage.
         if !wanted || !self.election.lease_valid(self.now) || self.now < self.reclaimed_at + RECLAIM_EVERY_MS {
             return false;
         }
         // What is in flight depends on the claim as it is.
         self.raising = true;
-        if !self.reclaim_wanted && share.ledger.in_flight.is_some() {
+        if !self.reclaim_wanted && shard.ledger.in_flight.is_some() {
             return false;
         }
-        share.withdraw = false;
+        shard.withdraw = false;
         tracing::info!(term = self.election.term, "raising the term");
         let transaction = self.election.reclaim(&self.keys, &self.watch_cache);
         self.send_claim(transaction);
@@ -426,19 +426,19 @@
         self.pushed_at = self.now;
         let (now, term) = (self.now, self.election.term);
         let mut room = self.most_pushes().saturating_sub(self.pushes.len());
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return;
         };
         let mut sends = Vec::new();
-        let mut due: Vec<Ix> = share.to_push.iter().copied().collect();
+        let mut due: Vec<Ix> = shard.to_push.iter().copied().collect();
         // Those with open attempts hold up work; the others can wait.
-        due.sort_by_key(|&ix| share.machines.get(ix).is_none_or(|machine| machine.open.is_empty()));
+        due.sort_by_key(|&ix| shard.machines.get(ix).is_none_or(|machine| machine.open.is_empty()));
         for ix in due {
             if room == 0 {
                 break;
             }
-            let Some(machine) = share.machines.get(ix).filter(|machine| !machine.condemned) else {
-                share.to_push.remove(&ix);
+            let Some(machine) = shard.machines.get(ix).filter(|machine| !machine.condemned) else {
+                shard.to_push.remove(&ix);
                 continue;
             };
             if machine.push.in_flight || now < machine.push.not_before {
@@ -447,9 +447,9 @@
             let (Some(address), session) = (machine.address.clone(), machine.session) else {
                 continue;
             };
-            share.to_push.remove(&ix);
-            let commands = share.commands(now, ix);
-            let Some(machine) = share.machines.get_mut(ix) else {
+            shard.to_push.remove(&ix);
+            let commands = shard.commands(now, ix);
+            let Some(machine) = shard.machines.get_mut(ix) else {
                 continue;
             };
             let well = machine.heard_at.is_some() && machine.misses == 0 && !machine.unanswered;
@@ -487,8 +487,8 @@
             }
         }
         for (node, commands) in by_peer {
-            let share = SHARE.into();
-            let message = Message::Push { share, commands };
+            let shard = SHARD.into();
+            let message = Message::Push { shard, commands };
             self.outputs.push(Output::Peer { node, message });
         }
     }
@@ -510,11 +510,11 @@
             return;
         };
         let now = self.now;
-        let Some(share) = &mut self.share else {
+        let Some(shard) = &mut self.shard else {
             return;
         };
-        let known = share.machines.find(&name);
-        if let Some(machine) = known.and_then(|ix| share.machines.get_mut(ix)) {
+        let known = shard.machines.find(&name);
+        if let Some(machine) = known.and_then(|ix| shard.machines.get_mut(ix)) {
             machine.push.in_flight = false;
             match &reply {
                 WorkerReply::Lost if machine.push.starts => machine.doubt = machine.doubt.max(term),
@@ -527,7 +527,7 @@
                 let again = !std::mem::replace(&mut machine.unanswered, true);
                 if again || machine.heard_at.is_none() {
                     machine.via = None;
-                    share.to_push.extend(known);
+                    shard.to_push.extend(known);
                 }
             }
         }
@@ -542,14 +542,14 @@
         if !self.election.acting(now) {
             return None;
         }
-        let share = self.share.as_mut()?;
-        let merged = share.merge_report(now, report, path);
+        let shard = self.shard.as_mut()?;
+        let merged = shard.merge_report(now, report, path);
         match merged {
             Merged::New(ix) => {
                 self.worker_heard_at = now;
-                let machine = share.machines.get(ix);
+                let machine = shard.machines.get(ix);
                 if machine.is_some_and(|machine| !machine.strays.is_empty() && machine.push.not_before <= now) {
-                    share.to_push.insert(ix);
+                    shard.to_push.insert(ix);
                 }
             }
             Merged::Outranked => {
@@ -572,20 +572,20 @@
     pub(super) fn answer_report(&mut self, report: &Report, via: Option<&str>) -> Option<ReportAnswer> {
         let merged = self.take_report(report, Path::Sent)?;
         let (now, token) = (self.now, self.election.term);
-        let share = self.share.as_mut()?;
+        let shard = self.shard.as_mut()?;
         if let Merged::New(ix) = merged
-            && let Some(machine) = share.machines.get_mut(ix)
+            && let Some(machine) = shard.machines.get_mut(ix)
             && machine.via.as_deref() != via
         {
             machine.via = via.map(str::to_owned);
         }
         let commands = match merged {
-            Merged::New(ix) => share.answer_commands(now, ix),
+            Merged::New(ix) => shard.answer_commands(now, ix),
             Merged::Old => {
-                if let Some(machine) = share
+                if let Some(machine) = shard
                     .machines
                     .find(&report.machine)
-                    .and_then(|ix| share.machines.get_mut(ix))
+                    .and_then(|ix| shard.machines.get_mut(ix))
                 {
                     machine.answered_at = now;
                 }
@@ -601,52 +601,52 @@
             return;
         }
         self.counts_at = self.now;
-        let Some(share) = &self.share else {
+        let Some(shard) = &self.shard else {
             return;
         };
-        let counts: Vec<_> = share
+        let counts: Vec<_> = shard
             .jobs
             .iter()
             .filter(|(_, job)| job.ended.is_none())
             .filter_map(|(_, job)| {
-                share
+                shard
                     .counts(&job.id)
                     .map(|(done, running)| (job.id.clone(), done, running))
             })
             .take(MAX_COUNTS)
             .collect();
         tracing::debug!(
-            jobs = share.jobs.len(),
-            waiting = share
+            jobs = shard.jobs.len(),
+            waiting = shard
                 .jobs
                 .iter()
                 .filter(|(_, job)| job.live())
                 .map(|(_, job)| job.waiting())
                 .sum::<u32>(),
-            open = share.attempts.iter().count(),
-            unwritten = share.attempts.iter().filter(|(_, attempt)| !attempt.written).count(),
-            unseen = share
+            open = shard.attempts.iter().count(),
+            unwritten = shard.attempts.iter().filter(|(_, attempt)| !attempt.written).count(),
+            unseen = shard
                 .attempts
                 .iter()
                 .filter(|(_, attempt)| attempt.seen.is_none())
                 .count(),
-            machines = share.machines.len(),
-            usable = share
+            machines = shard.machines.len(),
+            usable = shard
                 .machines
                 .iter()
                 .filter(|(_, machine)| machine.usable(self.now))
                 .count(),
-            writing_ms = share
+            writing_ms = shard
                 .ledger
                 .in_flight
                 .as_ref()
                 .map_or(0, |flight| self.now - flight.sent),
             queued = self.queue.len(),
             asked = self.intake.len(),
-            "share"
+            "shard"
         );
-        let share = SHARE.into();
-        self.tell_all(&Message::Counts { share, counts });
+        let shard = SHARD.into();
+        self.tell_all(&Message::Counts { shard, counts });
     }
 }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -6,11 +6,11 @@
 mod commits;
 mod follower;
 mod leader;
-mod share;
+mod shard;
 
-pub use share::Share;
+pub use shard::Shard;
 #[cfg(test)]
-pub use share::tests::share_with;
+pub use shard::tests::shard_with;
 
 use crate::election::{LeaderElection, LeaseRequest, Phase};
 use crate::intake::{Asker, Intake, IntakeContext, Want};
@@ -25,8 +25,8 @@
 use std::sync::Arc;
 
 /// Team limits and preemption span all teams on a pool of machines, so all
-/// that compete for it form one share.
-pub const SHARE: &str = "pool";
+/// that compete for it form one shard.
+pub const SHARD: &str = "pool";
 
 /// The state service is taken for reachable this long after its last answer.
 const STORE_OK_MS: Millis = 3_000;
@@ -166,7 +166,7 @@
     catalogue: Option<Catalogue>,
     intake: Intake,
     peers: Peers,
-    share: Option<Share>,
+    shard: Option<Shard>,
 
     queue: VecDeque<Queued>,
     calls: BTreeMap<u64, (Purpose, StoreRequest)>,
@@ -227,7 +227,7 @@
     pub fn new(settings: Settings, policy: Policy, life: u64) -> Controller {
         let nodes = settings.peers.iter().map(|peer| peer.node.clone());
         Controller {
-            keys: Keys::new(SHARE),
+            keys: Keys::new(SHARD),
             now: 0,
             wall: 0,
             outputs: Vec::new(),
@@ -238,7 +238,7 @@
             catalogue: None,
             intake: Intake::default(),
             peers: Peers::new(nodes),
-            share: None,
+            shard: None,
             queue: VecDeque::new(),
             calls: BTreeMap::new(),
             requests: Bucket::new(settings.params.state.rps * 0.2),
@@ -318,7 +318,7 @@
             self.peers.heartbeat_at = self.now;
             let message = Message::Heartbeat {
                 node: self.settings.node.clone(),
-                share: SHARE.into(),
+                shard: SHARD.into(),
                 leads_term: self.leads().then_some(self.election.term),
                 store_ok: self.store_ok(),
             };
@@ -403,7 +403,7 @@
             return;
         }
         let message = Message::Hold {
-            share: SHARE.into(),
+            shard: SHARD.into(),
             term: self.election.term,
             asked: self.now,
             revision: self.watch_cache.revision,
@@ -626,8 +626,8 @@
                 WatchedChange::Job(id) => self.job_changed(&id),
                 WatchedChange::JobGone(id) => {
                     self.peers.counts.remove(&id);
-                    if let Some(share) = &mut self.share {
-                        share.gone.push(id);
+                    if let Some(shard) = &mut self.shard {
+                        shard.gone.push(id);
                     }
                 }
             }
@@ -635,16 +635,16 @@
     }
 
     fn set_catalogue(&mut self, catalogue: Catalogue) {
-        if let Some(share) = &mut self.share {
-            share.set_catalogue(&catalogue);
+        if let Some(shard) = &mut self.shard {
+            shard.set_catalogue(&catalogue);
         }
         self.catalogue = Some(catalogue);
         self.place_wanted = true;
     }
 
     fn job_changed(&mut self, id: &str) {
-        if let (Some(share), Some((key, version))) = (&mut self.share, self.watch_cache.jobs().get(id)) {
-            share.job_changed(self.now, id, key, *version);
+        if let (Some(shard), Some((key, version))) = (&mut self.shard, self.watch_cache.jobs().get(id)) {
+            shard.job_changed(self.now, id, key, *version);
             self.place_wanted = true;
         }
     }
@@ -660,9 +660,9 @@
                 .as_ref()
                 .map(|catalogue| crate::intake::check(spec, teams, catalogue))
         };
-        let (share, peers) = (&self.share, &self.peers);
-        let counts = |id: &str| match share {
-            Some(share) => share.counts(id),
+        let (shard, peers) = (&self.shard, &self.peers);
+        let counts = |id: &str| match shard {
+            Some(shard) => shard.counts(id),
             None => peers.counts.get(id).copied(),
         };
         let context = IntakeContext {
@@ -697,7 +697,7 @@
                     self.outputs.push(Output::Peer {
                         node,
                         message: Message::Forward {
-                            share: SHARE.into(),
+                            shard: SHARD.into(),
                             id,
                             ask,
                         },
--- a/src/controller/share.rs
+++ b/src/controller/shard.rs
@@ -18,8 +18,8 @@
 /// A machine that refused a task gets no new ones for this long.
 const REFUSED_REST_MS: Millis = 1_000;
 
-/// Everything that the leader of a share knows of it. Made anew for every term.
-pub struct Share {
+/// Everything that the leader of a shard knows of it. Made anew for every term.
+pub struct Shard {
     pub name: String,
     pub term: u64,
     pub policy: Policy,
@@ -64,8 +64,8 @@
     pub withdraw: bool,
 }
 
-impl Share {
-    pub fn new(name: &str, term: u64, settings: &Settings, policy: &Policy) -> Share {
+impl Shard {
+    pub fn new(name: &str, term: u64, settings: &Settings, policy: &Policy) -> Shard {
         let keys = Keys::new(name);
         let params = &settings.params;
         let mut team_names = Names::default();
@@ -98,7 +98,7 @@
             }
             least
         };
-        Share {
+        Shard {
             name: name.into(),
             term,
             policy: policy.clone(),
--- a/src/controller/share/tests.rs
+++ b/src/controller/shard/tests.rs
@@ -3,10 +3,10 @@
 use crate::wire::{JobSpec, MachineType};
 use serde_json::json;
 
-/// A share that knows types of machines by name and CPUs, and one job.
-pub fn share_with(term: u64, types: &[(&str, f64)], tasks: u32, spot: bool) -> Share {
+/// A shard that knows types of machines by name and CPUs, and one job.
+pub fn shard_with(term: u64, types: &[(&str, f64)], tasks: u32, spot: bool) -> Shard {
     let settings = Settings::parse(SAMPLE).expect("valid settings");
-    let mut share = Share::new("pool", term, &settings, &Policy::default());
+    let mut shard = Shard::new("pool", term, &settings, &Policy::default());
     let types = types.iter().map(|&(name, cpus)| MachineType {
         name: name.into(),
         cpus,
@@ -19,7 +19,7 @@
         boot_s: 5.0,
         zones: vec!["north".into()],
     });
-    share.set_catalogue(&Catalogue { types: types.collect() });
+    shard.set_catalogue(&Catalogue { types: types.collect() });
     let spec: JobSpec = serde_json::from_value(json!({"id":"j-1","lotType":"sort","consignor":"floor",
         "saleFormat":"array","bidRank":"high","lots":tasks,"cores":4.0,"cards":0.0,"memGb":8.0,"catalog":"img",
         "pullGb":1.0,"oneZone":false,"scatter":false,"loaner":spot,"appraisedS":5.0,"tallyS":0.0,"ledgerS":0.0}))
@@ -29,6 +29,6 @@
         accepted_ms: 0,
         ended: None,
     };
-    share.job_changed(0, "j-1", &key, 1);
-    share
+    shard.job_changed(0, "j-1", &key, 1);
+    shard
 }
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -12,7 +12,7 @@
     };
     let beat = Message::Heartbeat {
         node: node.clone(),
-        share: SHARE.into(),
+        shard: SHARD.into(),
         leads_term: Some(3),
         store_ok: true,
     };
@@ -39,7 +39,7 @@
     let node = settings.peers[0].node.clone();
     let beat = Message::Heartbeat {
         node: node.clone(),
-        share: SHARE.into(),
+        shard: SHARD.into(),
         leads_term: None,
         store_ok: true,
     };
@@ -153,7 +153,7 @@
     };
     let hold = |revision| {
         let message = Message::Hold {
-            share: SHARE.into(),
+            shard: SHARD.into(),
             term: 3,
             asked: 5,
             revision,
--- a/src/election/mod.rs
+++ b/src/election/mod.rs
@@ -1,4 +1,4 @@
-//! The lease on the share and its rising term.
+//! The lease on the shard and its rising term.
 //!
 //! One key holds the claim and is attached to a lease of the state service; the
 //! claiming transaction also raises the term, which is the worker token. The
@@ -258,7 +258,7 @@
     }
 
     pub fn claimed(&mut self, version: u64) {
-        tracing::info!(term = self.term, "claimed the share");
+        tracing::info!(term = self.term, "claimed the shard");
         self.claim_version = version;
         self.phase = Phase::Loading;
         self.next_renewal = 0;
--- a/src/election/tests.rs
+++ b/src/election/tests.rs
@@ -25,7 +25,7 @@
     election.renewed(2_000, 2_000);
     assert!(election.acting(2_000 + LEASE_MS - MARGIN_MS - 1));
     // Guards against acting again on a renewal alone: after a lapse another
-    // controller may have claimed and lost the share in between.
+    // controller may have claimed and lost the shard in between.
     let lapsed = 2_000 + LEASE_MS;
     election.poll(lapsed, &watch_cache, true);
     election.renewed(lapsed + 1, lapsed);
--- a/src/fleet/forecast.rs
+++ b/src/fleet/forecast.rs
@@ -2,7 +2,7 @@
 
 use super::{Demand, UNKNOWN_BOOT_S};
 use crate::Millis;
-use crate::controller::Share;
+use crate::controller::Shard;
 use crate::ids::Ix;
 use crate::placement::Shape;
 use crate::wire::Priority;
@@ -24,7 +24,7 @@
     pub best_effort: bool,
 }
 
-impl Share {
+impl Shard {
     /// Tasks of each class to be ready for: what waits and runs now, or what
     /// ran on average lately with some headroom, whichever is more.
     pub(super) fn forecast(&mut self, now: Millis) -> Vec<Want> {
--- a/src/fleet/health.rs
+++ b/src/fleet/health.rs
@@ -2,7 +2,7 @@
 
 use super::{Offer, UNKNOWN_BOOT_S};
 use crate::Millis;
-use crate::controller::Share;
+use crate::controller::Shard;
 use crate::ids::Ix;
 use crate::workers::{MISSES_TO_GIVE_UP, Machine};
 use std::collections::{BTreeMap, BTreeSet};
@@ -57,7 +57,7 @@
     most_sick: bool,
 }
 
-impl Share {
+impl Shard {
     /// Condemns what is past use; its deletion is the proof that its tasks are over.
     pub(super) fn give_up_broken(&mut self, now: Millis) {
         let overview = self.overview(now);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,7 +9,7 @@
 pub use roster::{Group, GroupValue, Member, Roster};
 
 use crate::Millis;
-use crate::controller::Share;
+use crate::controller::Shard;
 use crate::ids::Ix;
 use crate::placement::Shape;
 use serde::{Deserialize, Serialize};
@@ -73,7 +73,7 @@
     pub delete_not_before: Millis,
 }
 
-impl Share {
+impl Shard {
     /// Looks over the machines and the forecast; hires and condemns.
     pub fn plan_fleet(&mut self, now: Millis) {
         if now < self.fleet.planned_at + PLAN_EVERY_MS {
--- a/src/fleet/provision.rs
+++ b/src/fleet/provision.rs
@@ -4,7 +4,7 @@
 use super::forecast::Want;
 use super::{HireValue, Offer};
 use crate::Millis;
-use crate::controller::Share;
+use crate::controller::Shard;
 use crate::ids::Ix;
 use crate::workers::Room;
 use std::collections::{BTreeMap, BTreeSet};
@@ -51,7 +51,7 @@
     left
 }
 
-impl Share {
+impl Shard {
     /// Packs the forecast into the machines there are and on their way; hires
     /// for what is left over and returns what stays unused.
     pub(super) fn provision(&mut self, now: Millis, wants: Vec<Want>) {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,4 +1,4 @@
-//! The links between controllers: who is in reach, who owns the share, and
+//! The links between controllers: who is in reach, who leads the shard, and
 //! what is forwarded or relayed.
 
 use crate::Millis;
@@ -47,18 +47,18 @@
     Lost,
 }
 
-/// Messages between controllers. Each says which share it is about.
+/// Messages between controllers. Each says which shard it is about.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// Sent all the time: who is there, and what it can reach.
     Heartbeat {
         node: String,
-        share: String,
+        shard: String,
         leads_term: Option<u64>,
         store_ok: bool,
     },
     Forward {
-        share: String,
+        shard: String,
         id: u64,
         ask: Ask,
     },
@@ -68,7 +68,7 @@
     },
     /// Reports of workers, many at once, for the leader to answer.
     Relay {
-        share: String,
+        shard: String,
         reports: Vec<(u64, Report)>,
     },
     Relayed {
@@ -76,7 +76,7 @@
     },
     /// Commands for the peer to hand to workers: id, address, commands.
     Push {
-        share: String,
+        shard: String,
         commands: Vec<(u64, String, DirectCommands)>,
     },
     Pushed {
@@ -86,7 +86,7 @@
     /// for a while. `asked`: by its clock, which means nothing to another life of
     /// it, hence the term; `revision`: what its watch cache holds.
     Hold {
-        share: String,
+        shard: String,
         term: u64,
         asked: u64,
         revision: u64,
@@ -99,7 +99,7 @@
     },
     /// Task counts of unfinished jobs, for display: id, done, running.
     Counts {
-        share: String,
+        shard: String,
         counts: Vec<(String, u32, u32)>,
     },
 }
@@ -163,7 +163,7 @@
         self.links.values().filter_map(|link| link.heard_at).max().unwrap_or(0)
     }
 
-    /// The controller in reach that says it owns the share, under the highest term.
+    /// The controller in reach that says it leads the shard, under the highest term.
     pub fn leader(&self, now: Millis) -> Option<&str> {
         self.links
             .iter()
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -6,11 +6,11 @@
     #[test]
     fn messages_survive_the_link(id in any::<u64>(), text in ".{0,200}", retry in proptest::option::of(any::<u32>())) {
         for message in [
-            Message::Forward { share: "pool".into(), id, ask: Ask::Submit(text.clone()) },
+            Message::Forward { shard: "pool".into(), id, ask: Ask::Submit(text.clone()) },
             Message::Forwarded { id, answer: Answer { status: 503, body: text.clone(), retry_after_s: retry } },
             Message::Relayed { answers: vec![(id, ReportReply::Elsewhere(Some(text.clone())))] },
             Message::Push {
-                share: "pool".into(),
+                shard: "pool".into(),
                 commands: vec![(id, text.clone(), DirectCommands {
                     token: id,
                     session: 1,
@@ -49,7 +49,7 @@
 }
 
 /// Guards against a leader that acts on while one controller, which gave no
-/// promise, claims the share or confirms cancellations.
+/// promise, claims the shard or confirms cancellations.
 #[test]
 fn promises_count_only_from_all() {
     let mut peers = Peers::new(["a".to_string(), "b".to_string()]);
--- a/src/pipeline/ledger.rs
+++ b/src/pipeline/ledger.rs
@@ -6,7 +6,7 @@
 
 use super::{ChunkValue, OpenRecord};
 use crate::Millis;
-use crate::controller::Share;
+use crate::controller::Shard;
 use crate::fleet::{GroupValue, HireValue, Member};
 use crate::ids::Ix;
 use crate::store::Keys;
@@ -63,7 +63,7 @@
     pub done: Vec<String>,
 }
 
-impl Share {
+impl Shard {
     /// Something is to be written that work or users wait for.
     pub fn starts_wait(&self) -> bool {
         !(self.ledger.starts.is_empty()
@@ -111,7 +111,7 @@
     }
 }
 
-impl Share {
+impl Shard {
     /// Builds the next transaction, if there is anything to write and none is
     /// in flight. What nobody waits for gets no more than `spare` changes, so
     /// that it never delays the next starts.
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -1,4 +1,4 @@
-//! Jobs of the share as their leader sees them: triggers, firings, done sets.
+//! Jobs of the shard as their leader sees them: triggers, firings, done sets.
 //!
 //! A job's tasks are kept in chunks; a chunk's key holds its done set, its open
 //! attempts and the next attempt number. A firing is written there with its
--- a/src/placement/machine_view.rs
+++ b/src/placement/machine_view.rs
@@ -3,7 +3,7 @@
 
 use super::{FullShapes, Shape};
 use crate::Millis;
-use crate::controller::Share;
+use crate::controller::Shard;
 use crate::ids::Ix;
 use crate::pipeline::Job;
 use crate::workers::Room;
@@ -122,13 +122,13 @@
 }
 
 impl MachineView {
-    pub fn new(share: &Share, now: Millis) -> MachineView {
-        let mut slots = Vec::with_capacity(share.machines.len());
-        for (machine_ix, machine) in share.machines.iter() {
+    pub fn new(shard: &Shard, now: Millis) -> MachineView {
+        let mut slots = Vec::with_capacity(shard.machines.len());
+        for (machine_ix, machine) in shard.machines.iter() {
             if !machine.usable(now) {
                 continue;
             }
-            if let Some(info) = &share.type_info[machine.type_ix as usize] {
+            if let Some(info) = &shard.type_info[machine.type_ix as usize] {
                 slots.push(Slot {
                     machine: machine_ix,
                     type_ix: machine.type_ix,
@@ -150,9 +150,9 @@
     }
 
     /// Which slots hold or fetch an image, noted once a round.
-    fn note_holders(&mut self, share: &Share, image: Ix) {
+    fn note_holders(&mut self, shard: &Shard, image: Ix) {
         self.holders.entry(image).or_insert_with(|| {
-            let machines = self.slots.iter().map(|slot| share.machines.get(slot.machine));
+            let machines = self.slots.iter().map(|slot| shard.machines.get(slot.machine));
             machines
                 .map(|machine| machine.is_some_and(|machine| machine.holds(image)))
                 .collect()
@@ -177,8 +177,8 @@
     }
 
     /// Where there is room for one of the job's tasks.
-    pub fn room_for(&mut self, share: &Share, job: &Job, zones: &Option<Vec<Ix>>) -> RoomFor {
-        self.note_holders(share, job.image);
+    pub fn room_for(&mut self, shard: &Shard, job: &Job, zones: &Option<Vec<Ix>>) -> RoomFor {
+        self.note_holders(shard, job.image);
         if self.holders_are_full(job) {
             let mut open = self.open_to(job, zones);
             let found = open.find(|(_, slot, _)| slot.has_room(job.shape.room));
@@ -212,8 +212,8 @@
     }
 
     /// Ranks the slots that the job may use and that have room for one of its tasks.
-    pub fn rank(&mut self, share: &Share, job: &Job, zones: &Option<Vec<Ix>>) -> Ranking {
-        self.note_holders(share, job.image);
+    pub fn rank(&mut self, shard: &Shard, job: &Job, zones: &Option<Vec<Ix>>) -> Ranking {
+        self.note_holders(shard, job.image);
         let mut ranked = Vec::with_capacity(self.slots.len());
         let mut holder_full = false;
         for (place, slot, holds) in self.open_to(job, zones) {
--- a/src/placement/machine_view/tests.rs
+++ b/src/placement/machine_view/tests.rs
@@ -1,15 +1,15 @@
 use super::*;
-use crate::controller::share_with;
+use crate::controller::shard_with;
 use proptest::prelude::*;
 
-fn share(machines: &[(bool, bool, f64, Option<u32>)]) -> (Share, Ix) {
-    let mut share = share_with(1, &[("small", 8.0), ("large", 16.0)], 40, true);
-    let job = share.jobs.find("j-1").expect("known");
-    let image = share.jobs.get(job).expect("there").image;
+fn shard(machines: &[(bool, bool, f64, Option<u32>)]) -> (Shard, Ix) {
+    let mut shard = shard_with(1, &[("small", 8.0), ("large", 16.0)], 40, true);
+    let job = shard.jobs.find("j-1").expect("known");
+    let image = shard.jobs.get(job).expect("there").image;
     for (number, &(large, spot, used, holds)) in machines.iter().enumerate() {
         let type_name = if large { "large" } else { "small" };
-        let ix = share.add_machine(0, &format!("host-{number}"), type_name, "north", spot);
-        let machine = share.machines.get_mut(ix).expect("there");
+        let ix = shard.add_machine(0, &format!("host-{number}"), type_name, "north", spot);
+        let machine = shard.machines.get_mut(ix).expect("there");
         machine.written = true;
         machine.heard_at = Some(0);
         machine.used.cpus = used;
@@ -17,14 +17,14 @@
             machine.touch(image + other, 1.0, 50.0);
         }
     }
-    (share, job)
+    (shard, job)
 }
 
 /// Algorithm 1 as the plain scan of all machines states it.
-fn plain_scan(share: &Share, job: &Job) -> Option<Ix> {
+fn plain_scan(shard: &Shard, job: &Job) -> Option<Ix> {
     let mut best: Option<((bool, bool, f64, f64), Ix)> = None;
-    for (ix, machine) in share.machines.iter() {
-        let info = share.type_info[machine.type_ix as usize].as_ref().expect("known");
+    for (ix, machine) in shard.machines.iter() {
+        let info = shard.type_info[machine.type_ix as usize].as_ref().expect("known");
         let free = info.room.less(machine.used);
         if !machine.usable(0) || !job.shape.allows(machine.type_ix, machine.zone, machine.spot) {
             continue;
@@ -38,9 +38,9 @@
 }
 
 /// A machine that the job may use holds its image and has no room for its task.
-fn holder_is_full(share: &Share, job: &Job) -> bool {
-    share.machines.iter().any(|(_, machine)| {
-        let info = share.type_info[machine.type_ix as usize].as_ref().expect("known");
+fn holder_is_full(shard: &Shard, job: &Job) -> bool {
+    shard.machines.iter().any(|(_, machine)| {
+        let info = shard.type_info[machine.type_ix as usize].as_ref().expect("known");
         let allowed = job.shape.allows(machine.type_ix, machine.zone, machine.spot);
         allowed && machine.holds(job.image) && !info.room.less(machine.used).fits(job.shape.room)
     })
@@ -55,15 +55,15 @@
         ),
         tasks in 1usize..40
     ) {
-        let (mut share, job_ix) = share(&machines);
-        let mut view = MachineView::new(&share, 0);
-        let mut ranking = view.rank(&share, share.jobs.get(job_ix).expect("there"), &None);
+        let (mut shard, job_ix) = shard(&machines);
+        let mut view = MachineView::new(&shard, 0);
+        let mut ranking = view.rank(&shard, shard.jobs.get(job_ix).expect("there"), &None);
         for _ in 0..tasks {
-            let job = share.jobs.get(job_ix).expect("there");
-            let expected = plain_scan(&share, job);
+            let job = shard.jobs.get(job_ix).expect("there");
+            let expected = plain_scan(&shard, job);
             let (room, image) = (job.shape.room, job.image);
-            let held = |best: &Ix| share.machines.get(*best).is_some_and(|machine| machine.holds(image));
-            let room_for = match (expected, holder_is_full(&share, job)) {
+            let held = |best: &Ix| shard.machines.get(*best).is_some_and(|machine| machine.holds(image));
+            let room_for = match (expected, holder_is_full(&shard, job)) {
                 (None, _) => RoomFor::Nowhere,
                 (Some(best), _) if held(&best) => RoomFor::AtHolder,
                 (Some(_), true) => RoomFor::BesideFullHolder {
@@ -72,16 +72,16 @@
                 (Some(_), false) => RoomFor::Elsewhere,
             };
             // The second look may know more than the first.
-            prop_assert_eq!(view.room_for(&share, job, &None), room_for);
-            prop_assert_eq!(view.room_for(&share, job, &None), room_for);
+            prop_assert_eq!(view.room_for(&shard, job, &None), room_for);
+            prop_assert_eq!(view.room_for(&shard, job, &None), room_for);
             let found = view.best(&mut ranking, image);
             prop_assert_eq!(found.as_ref().map(|best| view.machine_at(best.place)), expected);
-            prop_assert!(found.as_ref().is_none_or(|best| best.holder_full == holder_is_full(&share, job)));
+            prop_assert!(found.as_ref().is_none_or(|best| best.holder_full == holder_is_full(&shard, job)));
             let Some(Best { place, .. }) = found else {
                 break;
             };
             view.note_image(place, image);
-            let machine = share.machines.get_mut(view.take(place, room)).expect("there");
+            let machine = shard.machines.get_mut(view.take(place, room)).expect("there");
             machine.used.add(room);
             machine.touch(image, 1.0, 50.0);
         }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,7 +5,7 @@
 mod preemption;
 
 use crate::Millis;
-use crate::controller::Share;
+use crate::controller::Shard;
 use crate::ids::Ix;
 use crate::pipeline::Job;
 use crate::wire::Priority;
@@ -120,7 +120,7 @@
     left: usize,
 }
 
-impl Share {
+impl Shard {
     /// Plans attempts for released tasks. They start once they are written.
     pub fn place(&mut self, now: Millis) {
         let mut round = Round {
--- a/src/placement/preemption/mod.rs
+++ b/src/placement/preemption/mod.rs
@@ -10,7 +10,7 @@
 
 use super::Choice;
 use crate::Millis;
-use crate::controller::Share;
+use crate::controller::Shard;
 use crate::ids::Ix;
 use crate::pipeline::Job;
 use crate::wire::TaskState;
@@ -27,7 +27,7 @@
 /// Tasks this short end about as soon as a stop would have freed their room.
 const SHORT_TASK_S: f64 = 5.0;
 
-impl Share {
+impl Shard {
     /// Stops tasks of lower priority where a task has waited for room too long.
     pub fn preempt(&mut self, now: Millis) {
         if now < self.preempted_at + PREEMPT_EVERY_MS {
--- a/src/placement/preemption/tests.rs
+++ b/src/placement/preemption/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::controller::share_with;
+use crate::controller::shard_with;
 use crate::store::JobKey;
 use crate::wire::JobSpec;
 use serde_json::json;
@@ -22,64 +22,64 @@
 
 /// One machine of 16 CPUs full of backfill that has run for five minutes, and a
 /// high-priority job (j-1, 4 CPUs a task) that has waited for a second.
-fn full_machine(saves: bool) -> Share {
-    let mut share = share_with(1, &[("large", 16.0)], 1, true);
-    share.wall = NOW;
-    share.job_changed(0, "j-2", &backfill("j-2", saves), 2);
-    let machine = share.add_machine(0, "host-1", "large", "north", true);
-    let known = share.machines.get_mut(machine).expect("there");
+fn full_machine(saves: bool) -> Shard {
+    let mut shard = shard_with(1, &[("large", 16.0)], 1, true);
+    shard.wall = NOW;
+    shard.job_changed(0, "j-2", &backfill("j-2", saves), 2);
+    let machine = shard.add_machine(0, "host-1", "large", "north", true);
+    let known = shard.machines.get_mut(machine).expect("there");
     known.written = true;
     known.heard_at = Some(NOW);
     known.report_due = NOW + 10_000;
-    let job = share.jobs.find("j-2").expect("known");
+    let job = shard.jobs.find("j-2").expect("known");
     for task in 0..2 {
-        share.open_attempt(job, task, machine);
+        shard.open_attempt(job, task, machine);
     }
-    let attempts: Vec<Ix> = share.attempts.iter().map(|(ix, _)| ix).collect();
+    let attempts: Vec<Ix> = shard.attempts.iter().map(|(ix, _)| ix).collect();
     for ix in attempts {
-        let attempt = share.attempts.get_mut(ix).expect("there");
+        let attempt = shard.attempts.get_mut(ix).expect("there");
         attempt.written = true;
         attempt.seen = Some(TaskState::Running);
         attempt.running_since = Some(NOW - 300_000);
     }
-    let urgent = share.jobs.find("j-1").expect("known");
-    share.jobs.get_mut(urgent).expect("there").short_since = Some(NOW - 1_000);
-    share
+    let urgent = shard.jobs.find("j-1").expect("known");
+    shard.jobs.get_mut(urgent).expect("there").short_since = Some(NOW - 1_000);
+    shard
 }
 
-fn stops(share: &Share) -> Vec<f64> {
-    share.attempts.iter().filter_map(|(_, attempt)| attempt.stop).collect()
+fn stops(shard: &Shard) -> Vec<f64> {
+    shard.attempts.iter().filter_map(|(_, attempt)| attempt.stop).collect()
 }
 
 /// Guards against urgent work that waits for minutes beside idle work (inc-98dc,
 /// inc-a48c, inc-7b1f): what saves loses little, however long it ran.
 #[test]
 fn a_task_that_saves_yields_however_long_it_ran_and_saves_first() {
-    let mut share = full_machine(true);
-    share.preempt(NOW);
-    assert_eq!(stops(&share), [3.0], "one is enough for a task of 4 CPUs");
-    share.preempt(NOW + PREEMPT_EVERY_MS);
-    assert_eq!(stops(&share).len(), 1, "its room is on its way");
+    let mut shard = full_machine(true);
+    shard.preempt(NOW);
+    assert_eq!(stops(&shard), [3.0], "one is enough for a task of 4 CPUs");
+    shard.preempt(NOW + PREEMPT_EVERY_MS);
+    assert_eq!(stops(&shard).len(), 1, "its room is on its way");
 }
 
 #[test]
 fn a_task_that_can_not_save_and_ran_long_is_not_stopped() {
-    let mut share = full_machine(false);
-    share.preempt(NOW);
-    assert!(stops(&share).is_empty());
+    let mut shard = full_machine(false);
+    shard.preempt(NOW);
+    assert!(stops(&shard).is_empty());
 }
 
 /// Guards against best-effort work that by its age goes before all urgent work with
 /// as many tasks as it has.
 #[test]
 fn best_effort_work_goes_first_by_its_age_only_until_one_task_runs() {
-    let mut share = share_with(1, &[("large", 16.0)], 1, true);
-    share.job_changed(0, "j-2", &backfill("j-2", true), 2);
-    let job = share.jobs.find("j-2").expect("known");
-    let machine = share.add_machine(0, "host-1", "large", "north", true);
-    assert!(share.jobs.get(job).expect("there").old(NOW));
-    share.open_attempt(job, 0, machine);
-    let known = share.jobs.get(job).expect("there");
+    let mut shard = shard_with(1, &[("large", 16.0)], 1, true);
+    shard.job_changed(0, "j-2", &backfill("j-2", true), 2);
+    let job = shard.jobs.find("j-2").expect("known");
+    let machine = shard.add_machine(0, "host-1", "large", "north", true);
+    assert!(shard.jobs.get(job).expect("there").old(NOW));
+    shard.open_attempt(job, 0, machine);
+    let known = shard.jobs.get(job).expect("there");
     assert!(!known.old(NOW));
     assert!(known.has_slack(NOW), "it is never due");
 }
--- a/src/runtime/links/tests.rs
+++ b/src/runtime/links/tests.rs
@@ -5,7 +5,7 @@
 fn heartbeat(node: &str) -> Message {
     Message::Heartbeat {
         node: node.into(),
-        share: "pool".into(),
+        shard: "pool".into(),
         leads_term: None,
         store_ok: true,
     }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -65,68 +65,68 @@
 /// hear of. The rest is read only by a leader taking over, or one key at a time.
 #[derive(Clone, Debug)]
 pub struct Keys {
-    share: String,
+    shard: String,
 }
 
 impl Keys {
-    pub fn new(share: &str) -> Keys {
-        Keys { share: share.into() }
+    pub fn new(shard: &str) -> Keys {
+        Keys { shard: shard.into() }
     }
 
     pub fn watched(&self) -> String {
-        format!("live/{}/", self.share)
+        format!("live/{}/", self.shard)
     }
 
     pub fn leader(&self) -> String {
-        format!("live/{}/owner", self.share)
+        format!("live/{}/owner", self.shard)
     }
 
     pub fn term(&self) -> String {
-        format!("live/{}/term", self.share)
+        format!("live/{}/term", self.shard)
     }
 
     pub fn catalogue(&self) -> String {
-        format!("live/{}/catalogue", self.share)
+        format!("live/{}/catalogue", self.shard)
     }
 
     pub fn jobs(&self) -> String {
-        format!("live/{}/job/", self.share)
+        format!("live/{}/job/", self.shard)
     }
 
     pub fn job(&self, id: &str) -> String {
-        format!("live/{}/job/{id}", self.share)
+        format!("live/{}/job/{id}", self.shard)
     }
 
     pub fn ends(&self) -> String {
-        format!("kept/{}/end/", self.share)
+        format!("kept/{}/end/", self.shard)
     }
 
     pub fn end(&self, id: &str) -> String {
-        format!("kept/{}/end/{id}", self.share)
+        format!("kept/{}/end/{id}", self.shard)
     }
 
     pub fn firings(&self) -> String {
-        format!("kept/{}/firing/", self.share)
+        format!("kept/{}/firing/", self.shard)
     }
 
     pub fn firing(&self, id: &str, chunk: u32) -> String {
-        format!("kept/{}/firing/{id}/{chunk}", self.share)
+        format!("kept/{}/firing/{id}/{chunk}", self.shard)
     }
 
     pub fn rosters(&self) -> String {
-        format!("kept/{}/roster/", self.share)
+        format!("kept/{}/roster/", self.shard)
     }
 
     pub fn roster(&self, group: &str) -> String {
-        format!("kept/{}/roster/{group}", self.share)
+        format!("kept/{}/roster/{group}", self.shard)
     }
 
     pub fn hires(&self) -> String {
-        format!("kept/{}/hire/", self.share)
+        format!("kept/{}/hire/", self.shard)
     }
 
     pub fn hire(&self, request: &str) -> String {
-        format!("kept/{}/hire/{request}", self.share)
+        format!("kept/{}/hire/{request}", self.shard)
     }
 }
 
--- a/src/store/watch_cache.rs
+++ b/src/store/watch_cache.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// The claim of a share's leader.
+/// The claim of a shard's leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LeaderValue {
     pub node: String,
--- a/src/workers/attribution.rs
+++ b/src/workers/attribution.rs
@@ -7,7 +7,7 @@
 
 use super::{Attempt, Machine};
 use crate::Millis;
-use crate::controller::Share;
+use crate::controller::Shard;
 use crate::ids::Ix;
 
 /// A machine on which a task failed gets no new tasks for this long, so that a
@@ -37,7 +37,7 @@
     }
 }
 
-impl Share {
+impl Shard {
     /// A task failed there.
     pub fn note_failure(&mut self, now: Millis, attempt: &Attempt) {
         let (Some(job), Some(machine)) = (self.jobs.get_mut(attempt.job), self.machines.get_mut(attempt.machine))
--- a/src/workers/attribution/tests.rs
+++ b/src/workers/attribution/tests.rs
@@ -1,15 +1,15 @@
 use super::*;
-use crate::controller::share_with;
+use crate::controller::shard_with;
 use crate::store::JobKey;
 use crate::workers::Outcome;
 
 const MACHINES: usize = 6;
 
 /// Six machines, and six jobs of one task each.
-fn share() -> Share {
-    let mut share = share_with(1, &[("small", 8.0)], 1, true);
-    let first = share.jobs.find("j-1").expect("known");
-    let spec = share.jobs.get(first).expect("there").spec.clone();
+fn shard() -> Shard {
+    let mut shard = shard_with(1, &[("small", 8.0)], 1, true);
+    let first = shard.jobs.find("j-1").expect("known");
+    let spec = shard.jobs.get(first).expect("there").spec.clone();
     for number in 2..=MACHINES {
         let id = format!("j-{number}");
         let mut spec = spec.clone();
@@ -19,57 +19,57 @@
             accepted_ms: 0,
             ended: None,
         };
-        share.job_changed(0, &id, &key, number as u64);
+        shard.job_changed(0, &id, &key, number as u64);
     }
     for number in 0..MACHINES {
-        share.add_machine(0, &format!("host-{number}"), "small", "north", true);
+        shard.add_machine(0, &format!("host-{number}"), "small", "north", true);
     }
-    share
+    shard
 }
 
-fn fail(share: &mut Share, now: Millis, job: Ix, machine: Ix) {
-    share.open_attempt(job, 0, machine);
-    let attempt = *share.machines.get(machine).expect("there").open.last().expect("one");
-    share.close(now, attempt, Outcome::Error);
+fn fail(shard: &mut Shard, now: Millis, job: Ix, machine: Ix) {
+    shard.open_attempt(job, 0, machine);
+    let attempt = *shard.machines.get(machine).expect("there").open.last().expect("one");
+    shard.close(now, attempt, Outcome::Error);
 }
 
 /// Guards against machines given up for jobs submitted with a mistake, many of which
 /// come at once: each fails on each machine in turn.
 #[test]
 fn machines_are_spared_when_many_jobs_fail_everywhere() {
-    let mut share = share();
+    let mut shard = shard();
     for round in 0..MACHINES {
-        for job in share.jobs.indices() {
+        for job in shard.jobs.indices() {
             let machine = (job as usize + round) % MACHINES;
-            fail(&mut share, round as Millis * 10_000, job, machine as Ix);
+            fail(&mut shard, round as Millis * 10_000, job, machine as Ix);
         }
-        let sick = share.machines.iter().filter(|(_, machine)| machine.is_sick()).count();
+        let sick = shard.machines.iter().filter(|(_, machine)| machine.is_sick()).count();
         assert_eq!(sick, 0, "in round {round}");
     }
-    assert!(share.jobs.iter().all(|(_, job)| job.fails_everywhere()));
-    assert!(share.machines.iter().all(|(_, machine)| machine.failing.is_empty()));
+    assert!(shard.jobs.iter().all(|(_, job)| job.fails_everywhere()));
+    assert!(shard.machines.iter().all(|(_, machine)| machine.failing.is_empty()));
 }
 
 #[test]
 fn a_machine_on_which_three_jobs_fail_is_sick() {
-    let mut share = share();
-    let jobs = share.jobs.indices();
+    let mut shard = shard();
+    let jobs = shard.jobs.indices();
     for (count, &job) in jobs.iter().enumerate().take(FAILING_JOBS) {
-        assert!(!share.machines.get(0).expect("there").is_sick(), "after {count}");
-        fail(&mut share, count as Millis * 10_000, job, 0);
+        assert!(!shard.machines.get(0).expect("there").is_sick(), "after {count}");
+        fail(&mut shard, count as Millis * 10_000, job, 0);
     }
-    assert!(share.machines.get(0).expect("there").is_sick());
-    assert!(!share.jobs.get(jobs[0]).expect("there").fails_everywhere());
+    assert!(shard.machines.get(0).expect("there").is_sick());
+    assert!(!shard.jobs.get(jobs[0]).expect("there").fails_everywhere());
 }
 
 /// Tasks that a sick machine fails together are no proof against their job.
 #[test]
 fn failures_at_one_time_on_one_machine_count_once() {
-    let mut share = share();
-    let job = share.jobs.find("j-1").expect("known");
+    let mut shard = shard();
+    let job = shard.jobs.find("j-1").expect("known");
     for _ in 0..8 {
-        fail(&mut share, 1_000, job, 0);
+        fail(&mut shard, 1_000, job, 0);
     }
-    assert_eq!(share.jobs.get(job).expect("there").errors, 1);
-    assert!(share.machines.get(0).expect("there").rest_until > 1_000);
+    assert_eq!(shard.jobs.get(job).expect("there").errors, 1);
+    assert!(shard.machines.get(0).expect("there").rest_until > 1_000);
 }
--- a/src/workers/drain.rs
+++ b/src/workers/drain.rs
@@ -1,11 +1,11 @@
 use crate::Millis;
-use crate::controller::Share;
+use crate::controller::Shard;
 use crate::wire::TaskState;
 
 /// Time for a stop command to arrive and its end to be reported.
 const MARGIN_S: f64 = 3.0;
 
-impl Share {
+impl Shard {
     /// On machines that the cloud is about to take: tasks that can save do so
     /// as late as is safe; those that can't finish in time end now, so that
     /// they start again elsewhere the sooner.
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -1,6 +1,6 @@
 use super::{MISSES_TO_REST, Outcome, command_for, split_task};
 use crate::Millis;
-use crate::controller::Share;
+use crate::controller::Shard;
 use crate::ids::Ix;
 use crate::wire::{Command, Report, TaskState, Why};
 
@@ -36,7 +36,7 @@
     Gone,
 }
 
-impl Share {
+impl Shard {
     /// Merges a report, whether it came by itself or answered direct commands.
     pub fn merge_report(&mut self, now: Millis, report: &Report, path: Path) -> Merged {
         if report.token > self.term {
--- a/src/workers/merge/tests.rs
+++ b/src/workers/merge/tests.rs
@@ -1,28 +1,28 @@
 use super::*;
-use crate::controller::share_with;
+use crate::controller::shard_with;
 use crate::store::Keys;
 use crate::wire::{Change, Condition, TaskReport};
 
 const MINUTE: Millis = 60_000;
 
-/// A share of term 5 with one machine heard in session 1 and one job of a
+/// A shard of term 5 with one machine heard in session 1 and one job of a
 /// single task placed and written there.
-fn share() -> (Share, Ix) {
-    share_of(1)
+fn shard() -> (Shard, Ix) {
+    shard_of(1)
 }
 
-fn share_of(tasks: u32) -> (Share, Ix) {
-    let mut share = share_with(5, &[("small", 8.0)], tasks, false);
-    share.merge_report(0, &report(1, 1, 5, Vec::new()), Path::Answered);
-    let machine = share.machines.find("host-1").expect("known");
-    let known = share.machines.get_mut(machine).expect("there");
+fn shard_of(tasks: u32) -> (Shard, Ix) {
+    let mut shard = shard_with(5, &[("small", 8.0)], tasks, false);
+    shard.merge_report(0, &report(1, 1, 5, Vec::new()), Path::Answered);
+    let machine = shard.machines.find("host-1").expect("known");
+    let known = shard.machines.get_mut(machine).expect("there");
     known.written = true;
     // The tests below jump ahead in time.
     known.report_due = Millis::MAX;
-    share.place(0);
-    let attempt = share.machines.get(machine).expect("there").open[0];
-    share.attempts.get_mut(attempt).expect("open").written = true;
-    (share, machine)
+    shard.place(0);
+    let attempt = shard.machines.get(machine).expect("there").open[0];
+    shard.attempts.get_mut(attempt).expect("open").written = true;
+    (shard, machine)
 }
 
 fn report(session: u64, seq: u64, token: u64, tasks: Vec<TaskReport>) -> Report {
@@ -49,39 +49,39 @@
     }
 }
 
-fn open(share: &Share) -> usize {
-    share.attempts.iter().count()
+fn open(shard: &Shard) -> usize {
+    shard.attempts.iter().count()
 }
 
 #[test]
 fn absence_from_a_report_proves_nothing_while_a_start_may_arrive() {
-    let (mut share, machine) = share();
-    let attempt = share.machines.get(machine).expect("there").open[0];
-    share.attempts.get_mut(attempt).expect("open").stop = Some(0.0);
-    share.machines.get_mut(machine).expect("there").doubt = 5;
-    share.merge_report(MINUTE, &report(1, 2, 5, Vec::new()), Path::Sent);
-    assert_eq!(open(&share), 1);
-    assert!(share.withdraw);
+    let (mut shard, machine) = shard();
+    let attempt = shard.machines.get(machine).expect("there").open[0];
+    shard.attempts.get_mut(attempt).expect("open").stop = Some(0.0);
+    shard.machines.get_mut(machine).expect("there").doubt = 5;
+    shard.merge_report(MINUTE, &report(1, 2, 5, Vec::new()), Path::Sent);
+    assert_eq!(open(&shard), 1);
+    assert!(shard.withdraw);
     // A higher token seen by the worker withdraws whatever is on its way.
-    share.term = 6;
-    share.merge_report(MINUTE, &report(1, 3, 6, Vec::new()), Path::Sent);
-    closes_once_its_record_is_gone(&mut share);
+    shard.term = 6;
+    shard.merge_report(MINUTE, &report(1, 3, 6, Vec::new()), Path::Sent);
+    closes_once_its_record_is_gone(&mut shard);
 }
 
 /// The only attempt never starts. Guards against giving its room to others while
 /// its record is still there: the leader ended just then, the next one started
 /// both, and a team went beyond its limit (controllers that hand over and back,
 /// seed 46).
-fn closes_once_its_record_is_gone(share: &mut Share) {
+fn closes_once_its_record_is_gone(shard: &mut Shard) {
     let keys = Keys::new("pool");
     let claim = Condition {
         key: keys.leader(),
         version: 1,
     };
-    assert_eq!(open(share), 1);
-    let used = share.teams_use[0].used.cpus;
-    assert!(used > 0.0 && share.starts_wait());
-    let written = share
+    assert_eq!(open(shard), 1);
+    let used = shard.teams_use[0].used.cpus;
+    assert!(used > 0.0 && shard.starts_wait());
+    let written = shard
         .next_transaction(MINUTE, &keys, claim.clone(), 48, 48)
         .expect("due");
     let record = written.changes.iter().find_map(|change| match change {
@@ -90,89 +90,89 @@
     });
     assert_eq!(record, Some(serde_json::json!([])));
     // Not applied: considered again, and the room stays taken.
-    share.not_applied();
-    assert_eq!((open(share), share.teams_use[0].used.cpus), (1, used));
-    share.next_transaction(MINUTE, &keys, claim, 48, 48).expect("due again");
-    assert_eq!((open(share), share.teams_use[0].used.cpus), (1, used));
-    share.committed(MINUTE, &keys, 9);
-    assert_eq!((open(share), share.teams_use[0].used.cpus), (0, 0.0));
+    shard.not_applied();
+    assert_eq!((open(shard), shard.teams_use[0].used.cpus), (1, used));
+    shard.next_transaction(MINUTE, &keys, claim, 48, 48).expect("due again");
+    assert_eq!((open(shard), shard.teams_use[0].used.cpus), (1, used));
+    shard.committed(MINUTE, &keys, 9);
+    assert_eq!((open(shard), shard.teams_use[0].used.cpus), (0, 0.0));
 }
 
 /// Guards against raising the term again and again after a take-over, each
 /// time at the price of a fresh start.
 #[test]
 fn starts_of_earlier_terms_need_no_higher_term() {
-    let (mut share, machine) = share();
-    let attempt = share.machines.get(machine).expect("there").open[0];
-    share.attempts.get_mut(attempt).expect("open").stop = Some(0.0);
-    share.machines.get_mut(machine).expect("there").doubt = 4;
-    share.merge_report(MINUTE, &report(1, 2, 4, Vec::new()), Path::Sent);
-    assert_eq!(open(&share), 1);
-    assert!(!share.withdraw);
-    share.merge_report(MINUTE, &report(1, 3, 5, Vec::new()), Path::Sent);
-    assert!(!share.withdraw);
-    closes_once_its_record_is_gone(&mut share);
+    let (mut shard, machine) = shard();
+    let attempt = shard.machines.get(machine).expect("there").open[0];
+    shard.attempts.get_mut(attempt).expect("open").stop = Some(0.0);
+    shard.machines.get_mut(machine).expect("there").doubt = 4;
+    shard.merge_report(MINUTE, &report(1, 2, 4, Vec::new()), Path::Sent);
+    assert_eq!(open(&shard), 1);
+    assert!(!shard.withdraw);
+    shard.merge_report(MINUTE, &report(1, 3, 5, Vec::new()), Path::Sent);
+    assert!(!shard.withdraw);
+    closes_once_its_record_is_gone(&mut shard);
 }
 
 #[test]
 fn reports_are_ordered_by_session_and_sequence() {
-    let (mut share, _) = share();
-    share.merge_report(10, &report(1, 5, 5, vec![task(TaskState::Running, None)]), Path::Sent);
+    let (mut shard, _) = shard();
+    shard.merge_report(10, &report(1, 5, 5, vec![task(TaskState::Running, None)]), Path::Sent);
     let old = report(1, 4, 5, vec![task(TaskState::Exited, Some(Why::Done))]);
-    assert_eq!(share.merge_report(20, &old, Path::Sent), Merged::Old);
-    assert_eq!(open(&share), 1);
+    assert_eq!(shard.merge_report(20, &old, Path::Sent), Merged::Old);
+    assert_eq!(open(&shard), 1);
     assert_eq!(
-        share.merge_report(20, &report(1, 9, 7, Vec::new()), Path::Sent),
+        shard.merge_report(20, &report(1, 9, 7, Vec::new()), Path::Sent),
         Merged::Outranked
     );
-    share.merge_report(30, &report(2, 1, 5, Vec::new()), Path::Sent);
-    assert_eq!(open(&share), 0);
+    shard.merge_report(30, &report(2, 1, 5, Vec::new()), Path::Sent);
+    assert_eq!(open(&shard), 0);
 }
 
 /// Guards against reckoning a new session's lease from the last answer to
 /// the session before: its tasks were taken for lost while they ran.
 #[test]
 fn a_new_session_has_its_whole_lease() {
-    let (mut share, _) = share();
-    let late = share.lapse_ms - 10;
-    share.merge_report(late, &report(2, 1, 5, Vec::new()), Path::Sent);
-    share.place(late);
-    assert_eq!(open(&share), 1);
-    share.close_lapsed(late + 1_000);
-    assert_eq!(open(&share), 1);
-    share.close_lapsed(late + share.lapse_ms + 1);
-    assert_eq!(open(&share), 0);
+    let (mut shard, _) = shard();
+    let late = shard.lapse_ms - 10;
+    shard.merge_report(late, &report(2, 1, 5, Vec::new()), Path::Sent);
+    shard.place(late);
+    assert_eq!(open(&shard), 1);
+    shard.close_lapsed(late + 1_000);
+    assert_eq!(open(&shard), 1);
+    shard.close_lapsed(late + shard.lapse_ms + 1);
+    assert_eq!(open(&shard), 0);
 }
 
 #[test]
 fn an_end_is_forgotten_only_once_it_is_written() {
-    let (mut share, machine) = share();
+    let (mut shard, machine) = shard();
     let over = vec![task(TaskState::Exited, Some(Why::Error))];
-    share.merge_report(10, &report(1, 2, 5, over.clone()), Path::Sent);
-    share.merge_report(10, &report(1, 3, 5, over), Path::Sent);
-    assert!(share.commands(10, machine).is_empty());
-    let ix = share.jobs.find("j-1").expect("known");
-    share.jobs.get_mut(ix).expect("there").chunks[0].dirty = false;
-    assert!(matches!(share.commands(10, machine)[..], [Command::Forget { .. }]));
+    shard.merge_report(10, &report(1, 2, 5, over.clone()), Path::Sent);
+    shard.merge_report(10, &report(1, 3, 5, over), Path::Sent);
+    assert!(shard.commands(10, machine).is_empty());
+    let ix = shard.jobs.find("j-1").expect("known");
+    shard.jobs.get_mut(ix).expect("there").chunks[0].dirty = false;
+    assert!(matches!(shard.commands(10, machine)[..], [Command::Forget { .. }]));
     // Not while a start that went unanswered may still bring it back.
-    share.machines.get_mut(machine).expect("there").doubt = 5;
-    assert!(share.commands(10, machine).is_empty());
+    shard.machines.get_mut(machine).expect("there").doubt = 5;
+    assert!(shard.commands(10, machine).is_empty());
 }
 
-fn usable(share: &Share, machine: Ix, now: Millis) -> bool {
-    share.machines.get(machine).expect("there").usable(now)
+fn usable(shard: &Shard, machine: Ix, now: Millis) -> bool {
+    shard.machines.get(machine).expect("there").usable(now)
 }
 
 /// Guards against late copies of reports: a new leader took a machine that was
 /// gone for one in use, and placed tasks on it.
 #[test]
 fn only_a_report_of_this_term_shows_that_a_machine_is_there() {
-    let (mut share, machine) = share();
-    share.machines.get_mut(machine).expect("there").heard_at = None;
-    share.merge_report(10, &report(1, 2, 4, Vec::new()), Path::Sent);
-    assert!(!usable(&share, machine, 10));
-    share.merge_report(20, &report(1, 3, 5, Vec::new()), Path::Sent);
-    assert!(usable(&share, machine, 20));
+    let (mut shard, machine) = shard();
+    shard.machines.get_mut(machine).expect("there").heard_at = None;
+    shard.merge_report(10, &report(1, 2, 4, Vec::new()), Path::Sent);
+    assert!(!usable(&shard, machine, 10));
+    shard.merge_report(20, &report(1, 3, 5, Vec::new()), Path::Sent);
+    assert!(usable(&shard, machine, 20));
 }
 
 /// Guards against bringing back a machine returned so long ago that it was
@@ -180,72 +180,72 @@
 /// roster, and hires don't count on it.
 #[test]
 fn a_machine_known_by_hearsay_counts_for_nothing() {
-    let (mut share, _) = share();
+    let (mut shard, _) = shard();
     let copy = |seq| Report {
         machine: "host-9".into(),
         ..report(1, seq, 5, Vec::new())
     };
-    share.merge_report(10, &copy(7), Path::Sent);
-    let ix = share.machines.find("host-9").expect("noted");
-    assert_eq!(share.machines.get(ix).expect("there").group, None);
-    assert!(!usable(&share, ix, 10));
+    shard.merge_report(10, &copy(7), Path::Sent);
+    let ix = shard.machines.find("host-9").expect("noted");
+    assert_eq!(shard.machines.get(ix).expect("there").group, None);
+    assert!(!usable(&shard, ix, 10));
     // It is asked; its answer shows that it is there.
-    assert!(share.to_push.contains(&ix));
-    share.merge_report(20, &copy(8), Path::Answered);
-    assert!(share.machines.get(ix).expect("there").group.is_some());
+    assert!(shard.to_push.contains(&ix));
+    shard.merge_report(20, &copy(8), Path::Answered);
+    assert!(shard.machines.get(ix).expect("there").group.is_some());
 }
 
 /// Guards against giving tasks for ever to a machine whose reports arrive
 /// while answers and commands don't reach it.
 #[test]
 fn a_machine_that_no_answer_reaches_rests_and_is_given_up() {
-    let (mut share, machine) = share();
+    let (mut shard, machine) = shard();
     let mut condemned_after = None;
     for seq in 2..12 {
         let now = seq * 5_000;
-        share.merge_report(now, &report(1, seq, 5, Vec::new()), Path::Sent);
-        share.answer_commands(now, machine);
-        share.plan_fleet(now);
-        let misses = share.machines.get(machine).expect("there").misses;
-        assert_eq!(usable(&share, machine, now), misses < 2);
-        if share.machines.get(machine).expect("there").condemned {
+        shard.merge_report(now, &report(1, seq, 5, Vec::new()), Path::Sent);
+        shard.answer_commands(now, machine);
+        shard.plan_fleet(now);
+        let misses = shard.machines.get(machine).expect("there").misses;
+        assert_eq!(usable(&shard, machine, now), misses < 2);
+        if shard.machines.get(machine).expect("there").condemned {
             condemned_after.get_or_insert(seq - 2);
         }
     }
     assert_eq!(condemned_after, Some(4));
     // What was started there is proven over by other means only.
-    assert_eq!(open(&share), 1);
+    assert_eq!(open(&shard), 1);
 }
 
 /// Guards against tasks for machines that hang or are cut off: they waited
 /// there until the lease had lapsed (zone days of the fleet deployments).
 #[test]
 fn a_machine_late_with_its_report_or_an_answer_gets_nothing_new() {
-    let (mut share, machine) = share();
-    share.merge_report(0, &report(1, 2, 5, Vec::new()), Path::Sent);
-    let due = share.machines.get(machine).expect("there").report_due;
-    assert!(due > crate::millis(share.report_s * 1.25));
-    assert!(usable(&share, machine, due));
-    assert!(!usable(&share, machine, due + 1));
-    share.machines.get_mut(machine).expect("there").unanswered = true;
-    assert!(!usable(&share, machine, 10));
-    share.merge_report(20, &report(1, 3, 5, Vec::new()), Path::Sent);
-    assert!(usable(&share, machine, 20));
+    let (mut shard, machine) = shard();
+    shard.merge_report(0, &report(1, 2, 5, Vec::new()), Path::Sent);
+    let due = shard.machines.get(machine).expect("there").report_due;
+    assert!(due > crate::millis(shard.report_s * 1.25));
+    assert!(usable(&shard, machine, due));
+    assert!(!usable(&shard, machine, due + 1));
+    shard.machines.get_mut(machine).expect("there").unanswered = true;
+    assert!(!usable(&shard, machine, 10));
+    shard.merge_report(20, &report(1, 3, 5, Vec::new()), Path::Sent);
+    assert!(usable(&shard, machine, 20));
 }
 
 #[test]
 fn one_lost_answer_is_made_up_for_by_the_next_sign() {
-    let (mut share, machine) = share();
-    share.answer_commands(0, machine);
-    share.merge_report(5_000, &report(1, 2, 5, Vec::new()), Path::Sent);
-    assert_eq!(share.machines.get(machine).expect("there").misses, 1);
-    share.answer_commands(5_000, machine);
-    share.merge_report(
+    let (mut shard, machine) = shard();
+    shard.answer_commands(0, machine);
+    shard.merge_report(5_000, &report(1, 2, 5, Vec::new()), Path::Sent);
+    assert_eq!(shard.machines.get(machine).expect("there").misses, 1);
+    shard.answer_commands(5_000, machine);
+    shard.merge_report(
         10_000,
         &report(1, 3, 5, vec![task(TaskState::Fetching, None)]),
         Path::Sent,
     );
-    assert_eq!(share.machines.get(machine).expect("there").misses, 0);
+    assert_eq!(shard.machines.get(machine).expect("there").misses, 0);
 }
 
 /// Guards against a start that arrives late, after a later attempt of the
@@ -253,20 +253,20 @@
 /// team's limit (drawn troubles, seed 249).
 #[test]
 fn a_task_does_not_go_where_its_earlier_attempt_is_still_listed() {
-    let (mut share, machine) = share();
-    share.merge_report(
+    let (mut shard, machine) = shard();
+    shard.merge_report(
         10,
         &report(1, 2, 5, vec![task(TaskState::Exited, Some(Why::Stopped))]),
         Path::Sent,
     );
-    assert_eq!(open(&share), 0);
-    share.place(10);
-    assert_eq!(open(&share), 0);
-    share.merge_report(20, &report(1, 3, 5, Vec::new()), Path::Sent);
-    let job = share.jobs.find("j-1").expect("known");
-    share.jobs.get_mut(job).expect("there").failed_on.clear();
-    share.place(20);
-    assert_eq!(share.machines.get(machine).expect("there").open.len(), 1);
+    assert_eq!(open(&shard), 0);
+    shard.place(10);
+    assert_eq!(open(&shard), 0);
+    shard.merge_report(20, &report(1, 3, 5, Vec::new()), Path::Sent);
+    let job = shard.jobs.find("j-1").expect("known");
+    shard.jobs.get_mut(job).expect("there").failed_on.clear();
+    shard.place(20);
+    assert_eq!(shard.machines.get(machine).expect("there").open.len(), 1);
 }
 
 /// Guards against a job that waited for ever beside an idle machine: the one that
@@ -274,45 +274,45 @@
 /// (jobs bound to a zone, seed 199).
 #[test]
 fn a_machine_that_lists_an_earlier_attempt_does_not_hide_the_others() {
-    let mut share = share_with(5, &[("small", 8.0), ("small", 8.0)], 1, false);
+    let mut shard = shard_with(5, &[("small", 8.0), ("small", 8.0)], 1, false);
     let stale = |name: &str, seq, tasks| Report {
         machine: name.into(),
         ..report(1, seq, 5, tasks)
     };
     for name in ["host-1", "host-2"] {
-        share.merge_report(0, &stale(name, 1, Vec::new()), Path::Answered);
-        let machine = share.machines.find(name).expect("known");
-        let known = share.machines.get_mut(machine).expect("there");
+        shard.merge_report(0, &stale(name, 1, Vec::new()), Path::Answered);
+        let machine = shard.machines.find(name).expect("known");
+        let known = shard.machines.get_mut(machine).expect("there");
         known.written = true;
         known.report_due = Millis::MAX;
     }
-    let job = share.jobs.find("j-1").expect("known");
-    let image = share.jobs.get(job).expect("there").image;
-    let listing = share.machines.find("host-1").expect("known");
-    share.machines.get_mut(listing).expect("there").touch(image, 1.0, 50.0);
+    let job = shard.jobs.find("j-1").expect("known");
+    let image = shard.jobs.get(job).expect("there").image;
+    let listing = shard.machines.find("host-1").expect("known");
+    shard.machines.get_mut(listing).expect("there").touch(image, 1.0, 50.0);
     let ended = task(TaskState::Exited, Some(Why::Stopped));
-    share.merge_report(10, &stale("host-1", 2, vec![ended]), Path::Sent);
+    shard.merge_report(10, &stale("host-1", 2, vec![ended]), Path::Sent);
     // Three machines that are long gone fill what it remembers.
-    share.jobs.get_mut(job).expect("there").failed_on = vec![90, 91, 92];
-    share.place(20);
-    let other = share.machines.find("host-2").expect("known");
-    assert_eq!(share.machines.get(other).expect("there").open.len(), 1);
+    shard.jobs.get_mut(job).expect("there").failed_on = vec![90, 91, 92];
+    shard.place(20);
+    let other = shard.machines.find("host-2").expect("known");
+    assert_eq!(shard.machines.get(other).expect("there").open.len(), 1);
 }
 
 /// Guards against a job that keeps off the only machines that fit it: it had
 /// failed on each while they were sick.
 #[test]
 fn a_job_goes_back_to_the_machines_it_failed_on_when_no_other_fits() {
-    let (mut share, machine) = share();
-    let attempt = share.machines.get(machine).expect("there").open[0];
-    share.close(0, attempt, Outcome::Error);
+    let (mut shard, machine) = shard();
+    let attempt = shard.machines.get(machine).expect("there").open[0];
+    shard.close(0, attempt, Outcome::Error);
     for now in [6_000, 12_000] {
-        share.place(now);
-        assert_eq!(open(&share), 0);
+        shard.place(now);
+        assert_eq!(open(&shard), 0);
     }
-    share.place(17_000);
-    share.place(17_500);
-    assert_eq!(open(&share), 1);
+    shard.place(17_000);
+    shard.place(17_500);
+    assert_eq!(open(&shard), 1);
 }
 
 /// Guards against an idle machine that rests for ever: its lease had run out soon
@@ -320,35 +320,35 @@
 /// would have cleared it was dropped with every answer (drawn meetings, seed 216).
 #[test]
 fn a_machine_whose_lease_ran_out_is_asked_directly_and_used_again() {
-    let (mut share, machine) = share();
-    share.merge_report(10, &report(2, 1, 5, Vec::new()), Path::Sent);
-    assert!(!share.machines.get(machine).expect("there").usable(10));
-    share.answer_commands(10, machine);
-    assert!(share.to_push.contains(&machine));
-    share.merge_report(20, &report(2, 2, 5, Vec::new()), Path::Answered);
-    assert!(share.machines.get(machine).expect("there").usable(20));
-    share.answer_commands(30, machine);
-    assert!(!share.to_push.contains(&machine));
+    let (mut shard, machine) = shard();
+    shard.merge_report(10, &report(2, 1, 5, Vec::new()), Path::Sent);
+    assert!(!shard.machines.get(machine).expect("there").usable(10));
+    shard.answer_commands(10, machine);
+    assert!(shard.to_push.contains(&machine));
+    shard.merge_report(20, &report(2, 2, 5, Vec::new()), Path::Answered);
+    assert!(shard.machines.get(machine).expect("there").usable(20));
+    shard.answer_commands(30, machine);
+    assert!(!shard.to_push.contains(&machine));
 }
 
 /// Guards against reports that grow for as long as a term lasts: while a start
 /// of it may still arrive, no ended task can be forgotten.
 #[test]
 fn a_start_in_doubt_does_not_let_reports_grow_for_ever() {
-    let (mut share, machine) = share();
-    share.machines.get_mut(machine).expect("there").doubt = 5;
+    let (mut shard, machine) = shard();
+    shard.machines.get_mut(machine).expect("there").doubt = 5;
     let ended = |number: usize| TaskReport {
         task: format!("j-7/{number}"),
         ..task(TaskState::Exited, Some(Why::Done))
     };
     let few = (0..MANY_ENDED - 1).map(ended).collect();
-    share.merge_report(10, &report(1, 2, 5, few), Path::Sent);
-    assert!(!share.withdraw);
+    shard.merge_report(10, &report(1, 2, 5, few), Path::Sent);
+    assert!(!shard.withdraw);
     let many = (0..MANY_ENDED).map(ended).collect();
-    share.merge_report(20, &report(1, 3, 5, many), Path::Sent);
-    assert!(share.withdraw);
-    share.term = 6;
-    let forgets = share.commands(30, machine).into_iter();
+    shard.merge_report(20, &report(1, 3, 5, many), Path::Sent);
+    assert!(shard.withdraw);
+    shard.term = 6;
+    let forgets = shard.commands(30, machine).into_iter();
     assert_eq!(
         forgets.filter(|c| matches!(c, Command::Forget { .. })).count(),
         MANY_ENDED
@@ -358,7 +358,7 @@
 /// Guards against a stop that is dropped for good behind many other commands.
 #[test]
 fn stops_go_before_all_other_commands() {
-    let (mut share, machine) = share();
+    let (mut shard, machine) = shard();
     let mut tasks: Vec<TaskReport> = (0..500)
         .map(|number| TaskReport {
             task: format!("j-7/{number}"),
@@ -369,8 +369,8 @@
         task: "j-8/0".into(),
         ..task(TaskState::Running, None)
     });
-    share.merge_report(10, &report(1, 2, 5, tasks), Path::Sent);
-    let commands = share.commands(20, machine);
+    shard.merge_report(10, &report(1, 2, 5, tasks), Path::Sent);
+    let commands = shard.commands(20, machine);
     assert!(matches!(&commands[0], Command::Stop { task, .. } if task == "j-8/0"));
 }
 
@@ -378,65 +378,65 @@
 /// given to a smaller job, and writing its chunk ended the process.
 #[test]
 fn a_removed_job_leaves_nothing_to_write() {
-    let (mut share, _) = share();
-    share.merge_report(
+    let (mut shard, _) = shard();
+    shard.merge_report(
         10,
         &report(1, 2, 5, vec![task(TaskState::Exited, Some(Why::Error))]),
         Path::Sent,
     );
-    let job = share.jobs.find("j-1").expect("known");
-    share.ledger.chunks.insert((job, 7));
-    share.ledger.cleanups.insert(job);
-    share.gone.push("j-1".into());
-    share.forget_gone();
-    assert!(share.jobs.is_empty());
-    assert!(share.ledger.chunks.is_empty() && share.ledger.starts.is_empty() && share.ledger.cleanups.is_empty());
+    let job = shard.jobs.find("j-1").expect("known");
+    shard.ledger.chunks.insert((job, 7));
+    shard.ledger.cleanups.insert(job);
+    shard.gone.push("j-1".into());
+    shard.forget_gone();
+    assert!(shard.jobs.is_empty());
+    assert!(shard.ledger.chunks.is_empty() && shard.ledger.starts.is_empty() && shard.ledger.cleanups.is_empty());
 }
 
 /// One more task of the only job is placed, and fails.
-fn fail_once(share: &mut Share, machine: Ix, now: Millis) {
-    share.place(now);
-    let attempt = share.machines.get(machine).expect("there").open[0];
-    share.close(now, attempt, Outcome::Error);
+fn fail_once(shard: &mut Shard, machine: Ix, now: Millis) {
+    shard.place(now);
+    let attempt = shard.machines.get(machine).expect("there").open[0];
+    shard.close(now, attempt, Outcome::Error);
 }
 
 /// Guards against blaming jobs for sick machines (inc-c6c5): every job was
 /// paused for up to a minute while machines stood idle, and no machine went.
 #[test]
 fn a_machine_is_blamed_for_jobs_that_got_on_elsewhere() {
-    let (mut share, machine) = share_of(40);
-    let job = share.jobs.find("j-1").expect("known");
-    let first = share.machines.get(machine).expect("there").open.clone();
-    share.close(0, first[0], Outcome::Done);
-    for attempt in share.machines.get(machine).expect("there").open.clone() {
-        share.close(0, attempt, Outcome::Lost);
+    let (mut shard, machine) = shard_of(40);
+    let job = shard.jobs.find("j-1").expect("known");
+    let first = shard.machines.get(machine).expect("there").open.clone();
+    shard.close(0, first[0], Outcome::Done);
+    for attempt in shard.machines.get(machine).expect("there").open.clone() {
+        shard.close(0, attempt, Outcome::Lost);
     }
     for round in 1..=3 {
-        share.jobs.get_mut(job).expect("there").failed_on.clear();
-        fail_once(&mut share, machine, round * 10_000);
-        for attempt in share.machines.get(machine).expect("there").open.clone() {
-            share.close(0, attempt, Outcome::Lost);
+        shard.jobs.get_mut(job).expect("there").failed_on.clear();
+        fail_once(&mut shard, machine, round * 10_000);
+        for attempt in shard.machines.get(machine).expect("there").open.clone() {
+            shard.close(0, attempt, Outcome::Lost);
         }
     }
-    assert_eq!(share.jobs.get(job).expect("there").errors, 0);
-    share.plan_fleet(40_000);
-    assert!(share.machines.get(machine).expect("there").condemned);
+    assert_eq!(shard.jobs.get(job).expect("there").errors, 0);
+    shard.plan_fleet(40_000);
+    assert!(shard.machines.get(machine).expect("there").condemned);
 }
 
 #[test]
 fn a_job_that_fails_everywhere_is_tried_alone_and_spares_the_machines() {
-    let (mut share, machine) = share_of(40);
-    let job = share.jobs.find("j-1").expect("known");
+    let (mut shard, machine) = shard_of(40);
+    let job = shard.jobs.find("j-1").expect("known");
     for round in 0..6 {
-        for attempt in share.machines.get(machine).expect("there").open.clone() {
-            share.close(round * 70_000, attempt, Outcome::Error);
+        for attempt in shard.machines.get(machine).expect("there").open.clone() {
+            shard.close(round * 70_000, attempt, Outcome::Error);
         }
-        share.jobs.get_mut(job).expect("there").failed_on.clear();
-        share.place(round * 70_000 + 65_000);
+        shard.jobs.get_mut(job).expect("there").failed_on.clear();
+        shard.place(round * 70_000 + 65_000);
     }
-    assert!(share.jobs.get(job).expect("there").fails_everywhere());
-    assert!(share.machines.get(machine).expect("there").open.len() <= 1);
-    share.machines.get_mut(machine).expect("there").heard_at = Some(500_000);
-    share.plan_fleet(500_000);
-    assert!(!share.machines.get(machine).expect("there").condemned);
+    assert!(shard.jobs.get(job).expect("there").fails_everywhere());
+    assert!(shard.machines.get(machine).expect("there").open.len() <= 1);
+    shard.machines.get_mut(machine).expect("there").heard_at = Some(500_000);
+    shard.plan_fleet(500_000);
+    assert!(!shard.machines.get(machine).expect("there").condemned);
 }
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -6,7 +6,7 @@
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 use std::alloc::System;
 use std::sync::Mutex;
-use sumacbend::controller::Share;
+use sumacbend::controller::Shard;
 use sumacbend::memory;
 use sumacbend::policy::Policy;
 use sumacbend::settings::Settings;
@@ -60,10 +60,10 @@
 const JOBS: usize = 4_096;
 const TASKS_A_MACHINE: usize = 16;
 
-fn share() -> Share {
+fn shard() -> Shard {
     let settings = Settings::parse(SETTINGS).expect("valid settings");
-    let mut share = Share::new("pool", 3, &settings, &Policy::default());
-    share.set_catalogue(&Catalogue {
+    let mut shard = Shard::new("pool", 3, &settings, &Policy::default());
+    shard.set_catalogue(&Catalogue {
         types: vec![MachineType {
             name: "pantry-rack".into(),
             cpus: TASKS_A_MACHINE as f64,
@@ -77,7 +77,7 @@
             zones: vec!["north".into()],
         }],
     });
-    share
+    shard
 }
 
 fn job_key(number: usize, tasks: usize) -> JobKey {
@@ -111,14 +111,14 @@
     }
 }
 
-fn add_machines(share: &mut Share) {
+fn add_machines(shard: &mut Shard) {
     for number in 0..MACHINES {
-        share.add_machine(0, &machine_name(number), "pantry-rack", "north", true);
-        share.merge_report(0, &report(number, Vec::new()), Path::Answered);
+        shard.add_machine(0, &machine_name(number), "pantry-rack", "north", true);
+        shard.merge_report(0, &report(number, Vec::new()), Path::Answered);
     }
-    let machines = share.machines.indices();
+    let machines = shard.machines.indices();
     for ix in machines {
-        share.machines.get_mut(ix).expect("there").written = true;
+        shard.machines.get_mut(ix).expect("there").written = true;
     }
 }
 
@@ -142,38 +142,38 @@
 #[test]
 fn a_machine_takes_no_more_than_its_bound() {
     let _turn = TURN.lock();
-    let mut share = share();
-    let bytes = bytes_each(MACHINES, || add_machines(&mut share));
+    let mut shard = shard();
+    let bytes = bytes_each(MACHINES, || add_machines(&mut shard));
     assert_close(bytes, memory::MACHINE_BYTES);
 }
 
 #[test]
 fn an_open_task_takes_no_more_than_its_bound() {
     let _turn = TURN.lock();
-    let mut share = share();
-    add_machines(&mut share);
+    let mut shard = shard();
+    add_machines(&mut shard);
     let tasks = MACHINES * TASKS_A_MACHINE;
-    share.job_changed(0, "j-000001", &job_key(1, tasks), 1);
+    shard.job_changed(0, "j-000001", &job_key(1, tasks), 1);
     let bytes = bytes_each(tasks, || {
         for round in 1..=tasks as u64 {
-            if share.attempts.iter().count() == tasks {
+            if shard.attempts.iter().count() == tasks {
                 break;
             }
-            share.place(round);
+            shard.place(round);
         }
     });
-    assert_eq!(share.attempts.iter().count(), tasks);
+    assert_eq!(shard.attempts.iter().count(), tasks);
     assert_close(bytes, memory::OPEN_TASK_BYTES);
 }
 
 #[test]
 fn an_unfinished_job_takes_no_more_than_its_bound() {
     let _turn = TURN.lock();
-    let mut share = share();
+    let mut shard = shard();
     let bytes = bytes_each(JOBS, || {
         let watch_cache = watched(JOBS, None);
         for (id, (key, version)) in watch_cache.jobs() {
-            share.job_changed(0, id, key, *version);
+            shard.job_changed(0, id, key, *version);
         }
         watch_cache
     });
@@ -184,9 +184,9 @@
 fn a_task_of_an_unfinished_job_takes_no_more_than_its_bound() {
     let _turn = TURN.lock();
     const TASKS: usize = 100_000;
-    let mut share = share();
+    let mut shard = shard();
     let bytes = bytes_each(TASKS / 1_000, || {
-        share.job_changed(0, "j-000001", &job_key(1, TASKS), 1);
+        shard.job_changed(0, "j-000001", &job_key(1, TASKS), 1);
     });
     assert_close(bytes, memory::THOUSAND_TASKS_BYTES);
 }
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -11,7 +11,7 @@
 use sumacbend::wire::Priority;
 use world::{Told, Trouble, World};
 
-/// Whoever owns the share when the trouble begins.
+/// Whoever leads the shard when the trouble begins.
 const LEADER: usize = 9;
 
 fn check(seed: u64, troubles: Vec<(u64, Trouble)>) {
@@ -378,7 +378,7 @@
 }
 
 #[test]
-fn late_copies_of_reports_prove_nothing_to_an_leader_just_elected() {
+fn late_copies_of_reports_prove_nothing_to_a_leader_just_elected() {
     for seed in 12..18 {
         let mut troubles = vec![(5_000, Trouble::LateCopies { ms: 120_000 })];
         for at in (15_000..120_000).step_by(9_000) {
--- a/tests/rules/meetings.rs
+++ b/tests/rules/meetings.rs
@@ -45,7 +45,7 @@
 /// another controller, and it is out for all: for less than a lease, between a
 /// lease and `cancel_s`, and longer. The refusal ends before, in and after the
 /// outage; machines of the cancelled jobs hang or can't be reached; the old
-/// leader, another or a restarted one owns the share afterwards.
+/// leader, another or a restarted one leads the shard afterwards.
 #[test]
 fn the_gap() {
     meet(12, |rng| {
