--- a/benches/site/mod.rs
+++ b/benches/site/mod.rs
@@ -128,7 +128,7 @@
                 ])
             })
             .collect();
-        entries.insert(keys.roster(&format!("1-{group}")), json!({ "machines": machines }));
+        entries.insert(keys.inventory(&format!("1-{group}")), json!({ "machines": machines }));
     }
     entries
 }
--- a/src/intake/mod.rs
+++ b/src/admission/mod.rs
@@ -61,7 +61,7 @@
     started: Millis,
 }
 
-/// What intake wants done.
+/// What admission wants done.
 #[derive(Debug, PartialEq)]
 pub enum Want {
     Answer(Asker, Answer),
@@ -86,8 +86,8 @@
     },
 }
 
-/// What an answer depends on beyond intake's own state.
-pub struct IntakeContext<'a> {
+/// What an answer depends on beyond admission's own state.
+pub struct AdmissionContext<'a> {
     pub now: Millis,
     pub wall: Millis,
     pub keys: &'a Keys,
@@ -102,7 +102,7 @@
 }
 
 #[derive(Debug, Default)]
-pub struct Intake {
+pub struct Admission {
     ops: BTreeMap<u64, Op>,
     next_op: u64,
     /// Number of the last confirming read sent, and whether one is in flight.
@@ -120,9 +120,9 @@
     done: u32,
 }
 
-impl Intake {
+impl Admission {
     /// A question comes in. `forward`: the controller that should answer it.
-    pub fn ask(&mut self, context: &IntakeContext, asker: Asker, ask: Ask, forward: Option<String>) -> Vec<Want> {
+    pub fn ask(&mut self, context: &AdmissionContext, asker: Asker, ask: Ask, forward: Option<String>) -> Vec<Want> {
         let (id, spec) = match &ask {
             Ask::Submit(body) => match parse(body) {
                 Ok(spec) => (spec.id.clone(), Some(Ok(spec))),
@@ -176,7 +176,7 @@
     }
 
     /// Starts, or starts again, on a question that is ours to answer.
-    fn begin(&mut self, context: &IntakeContext, op_id: u64) -> Vec<Want> {
+    fn begin(&mut self, context: &AdmissionContext, op_id: u64) -> Vec<Want> {
         let next_sync = self.sync_sent + 1;
         let Some(op) = self.ops.get_mut(&op_id) else {
             return Vec::new();
@@ -228,7 +228,7 @@
     }
 
     /// The confirming read `number` came back, and the watch cache took it in.
-    pub fn synced(&mut self, context: &IntakeContext, number: u64, ok: bool) -> Vec<Want> {
+    pub fn synced(&mut self, context: &AdmissionContext, number: u64, ok: bool) -> Vec<Want> {
         self.sync_in_flight = false;
         let ready: Vec<u64> = self
             .ops
@@ -247,7 +247,7 @@
         wants
     }
 
-    fn confirmed(&mut self, context: &IntakeContext, op_id: u64) -> Vec<Want> {
+    fn confirmed(&mut self, context: &AdmissionContext, op_id: u64) -> Vec<Want> {
         let Some(op) = self.ops.get_mut(&op_id) else {
             return Vec::new();
         };
@@ -316,7 +316,7 @@
     }
 
     /// A create-once write came back.
-    pub fn written(&mut self, context: &IntakeContext, op_id: u64, reply: &StoreReply) -> Vec<Want> {
+    pub fn written(&mut self, context: &AdmissionContext, op_id: u64, reply: &StoreReply) -> Vec<Want> {
         let Some(op) = self.ops.get_mut(&op_id) else {
             return Vec::new();
         };
@@ -379,7 +379,7 @@
     }
 
     /// Gives up what waited too long; takes back what was forwarded in vain.
-    pub fn tick(&mut self, context: &IntakeContext, in_reach: &dyn Fn(&str) -> bool) -> Vec<Want> {
+    pub fn tick(&mut self, context: &AdmissionContext, in_reach: &dyn Fn(&str) -> bool) -> Vec<Want> {
         let mut wants = Vec::new();
         let ops: Vec<u64> = self.ops.keys().copied().collect();
         for op_id in ops {
--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -1,10 +1,10 @@
-//! The leader's calls to the cloud: catalogue, hires, deletions, lists.
+//! The leader's calls to the cloud: catalogue, rentals, deletions, lists.
 
 use super::{CloudReply, CloudRequest, Controller, Output, Purpose};
 use crate::Millis;
-use crate::fleet::HireValue;
+use crate::fleet::RentalValue;
 use crate::store::{Bucket, StoreRequest};
-use crate::wire::{Change, HireRequest, MachineNames, Transaction};
+use crate::wire::{Change, MachineNames, RentalRequest, Transaction};
 use serde_json::json;
 use std::collections::BTreeMap;
 
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 enum Call {
     Catalogue,
-    Hire(String),
+    Rental(String),
     Delete(Vec<String>),
     List,
 }
@@ -62,16 +62,16 @@
             self.cloud(Call::Catalogue, CloudRequest::Catalogue);
         }
         while self.cloud.rate.ready(now)
-            && let Some(value) = self.next_hire()
+            && let Some(value) = self.next_rental()
         {
-            let request = HireRequest {
+            let request = RentalRequest {
                 request: value.request.clone(),
                 machine_type: value.machine_type,
                 zone: value.zone,
                 spot: value.spot,
                 count: value.count,
             };
-            self.cloud(Call::Hire(value.request), CloudRequest::Hire(request));
+            self.cloud(Call::Rental(value.request), CloudRequest::Rental(request));
         }
         let Some(shard) = &mut self.shard else {
             return;
@@ -83,15 +83,15 @@
         }
     }
 
-    /// A written hire that is due, now taken to be in flight.
-    fn next_hire(&mut self) -> Option<HireValue> {
+    /// A written rental that is due, now taken to be in flight.
+    fn next_rental(&mut self) -> Option<RentalValue> {
         let now = self.now;
-        let hires = &mut self.shard.as_mut()?.fleet.hires;
-        let hire = hires
+        let rentals = &mut self.shard.as_mut()?.fleet.rentals;
+        let rental = rentals
             .iter_mut()
-            .find(|hire| !hire.in_flight && now >= hire.not_before)?;
-        hire.in_flight = true;
-        Some(hire.value.clone())
+            .find(|rental| !rental.in_flight && now >= rental.not_before)?;
+        rental.in_flight = true;
+        Some(rental.value.clone())
     }
 
     pub(super) fn delete_condemned(&mut self) {
@@ -139,7 +139,7 @@
                 self.set_catalogue(catalogue);
             }
             (Call::Catalogue, _) => self.cloud.catalogue_due = now + RETRY_MS,
-            (Call::Hire(request), reply) => self.hire_answered(&request, reply),
+            (Call::Rental(request), reply) => self.rental_answered(&request, reply),
             (Call::Delete(names), reply) => {
                 let Some(shard) = &mut self.shard else {
                     return;
@@ -174,35 +174,40 @@
         }
     }
 
-    fn hire_answered(&mut self, request: &str, reply: CloudReply) {
+    fn rental_answered(&mut self, request: &str, reply: CloudReply) {
         let now = self.now;
         let Some(shard) = &mut self.shard else {
             return;
         };
-        let Some(position) = shard.fleet.hires.iter().position(|hire| hire.value.request == request) else {
+        let Some(position) = shard
+            .fleet
+            .rentals
+            .iter()
+            .position(|rental| rental.value.request == request)
+        else {
             return;
         };
-        let hire = &mut shard.fleet.hires[position];
+        let rental = &mut shard.fleet.rentals[position];
         let got = match reply {
-            CloudReply::Hired(names) => names.machines,
+            CloudReply::Rented(names) => names.machines,
             CloudReply::NoCapacity | CloudReply::Malformed => Vec::new(),
             _ => {
                 // The very same request again, until it is answered: it may
                 // have been carried out, or may yet be.
-                hire.in_flight = false;
-                hire.not_before = now + RETRY_MS;
+                rental.in_flight = false;
+                rental.not_before = now + RETRY_MS;
                 return;
             }
         };
-        let hire = shard.fleet.hires.remove(position);
-        let value = hire.value;
+        let rental = shard.fleet.rentals.remove(position);
+        let value = rental.value;
         tracing::info!(
             machine_type = value.machine_type,
             zone = value.zone,
             spot = value.spot,
             asked = value.count,
             got = got.len(),
-            "hired"
+            "rented"
         );
         if got.len() < value.count as usize
             && let (Some(type_ix), Some(zone)) = (shard.types.get(&value.machine_type), shard.zones.get(&value.zone))
@@ -217,6 +222,6 @@
                 shard.add_machine(now, name, &value.machine_type, &value.zone, value.spot);
             }
         }
-        shard.ledger.settled.push_back((value.request, hire.version));
+        shard.ledger.settled.push_back((value.request, rental.version));
     }
 }
--- a/src/controller/commits.rs
+++ b/src/controller/commits.rs
@@ -110,8 +110,8 @@
         };
         let committed = shard.committed(self.now, &self.keys, revision);
         shard.to_push.extend(committed.push);
-        for (value, version) in committed.hires {
-            shard.fleet.hires.push(crate::fleet::Hire {
+        for (value, version) in committed.rentals {
+            shard.fleet.rentals.push(crate::fleet::Rental {
                 value,
                 version,
                 in_flight: false,
--- a/src/controller/commits/tests.rs
+++ b/src/controller/commits/tests.rs
@@ -17,7 +17,7 @@
     machine.written = true;
     machine.heard_at = Some(START);
     machine.report_due = Millis::MAX;
-    shard.roster.urgent.clear();
+    shard.inventory.urgent.clear();
     shard.place(START);
     controller.now = START;
     controller.shard = Some(shard);
@@ -142,7 +142,7 @@
         conditions: vec![condition("live/job/j-1", 4), condition("kept/hire/r", 6)],
         changes: vec![put("live/job/j-1"), Change::delete("kept/hire/r")],
     };
-    let evidence = Evidence::of(&transaction, "live/job/").expect("the hire");
+    let evidence = Evidence::of(&transaction, "live/job/").expect("the rental");
     assert_eq!((evidence.key.as_str(), evidence.before), ("kept/hire/r", 6));
     assert_eq!(evidence.verdict(&StoreReply::Missing), Verdict::Applied { revision: 0 });
     transaction.changes.push(put("kept/end/j-1"));
--- a/src/controller/follower.rs
+++ b/src/controller/follower.rs
@@ -3,7 +3,7 @@
 
 use super::{Controller, Output, SHARD};
 use crate::Millis;
-use crate::intake::{Asker, busy};
+use crate::admission::{Asker, busy};
 use crate::peers::{Answer, Message, ReportReply, WorkerReply};
 use crate::store::JobKey;
 use crate::wire::{DirectCommands, Redirect, Report, Standing};
@@ -193,12 +193,12 @@
                     return;
                 }
                 // Never forwarded twice.
-                let wants = self.with_intake(|intake, context, _| intake.ask(context, asker, ask, None));
+                let wants = self.with_admission(|admission, context, _| admission.ask(context, asker, ask, None));
                 self.carry_out(wants);
             }
             Message::Forwarded { id, answer } => {
                 if let Some(op) = self.forwards.remove(&id) {
-                    let wants = self.intake.forwarded(op, answer);
+                    let wants = self.admission.forwarded(op, answer);
                     self.carry_out(wants);
                 }
             }
@@ -300,7 +300,7 @@
             self.redirected_at = now;
             self.redirected.retain(|_, redirected| redirected.counts(now));
         }
-        // Forwards are given up by intake; what is left here is forgotten with it.
+        // Forwards are given up by admission; what is left here is forgotten with it.
         if self.forwards.len() > 2_000 {
             let oldest = self.next_forward.saturating_sub(1_000);
             self.forwards.retain(|&id, _| id > oldest);
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -149,8 +149,8 @@
 
     fn load(&mut self, part: Loading, after: String) {
         let prefix = match part {
-            Loading::Machines => self.keys.rosters(),
-            Loading::Hires => self.keys.hires(),
+            Loading::Machines => self.keys.inventories(),
+            Loading::Rentals => self.keys.rentals(),
             Loading::WatchCache => self.keys.watched(),
             Loading::Firings => self.keys.firings(),
         };
@@ -186,8 +186,8 @@
         let next = page.items.last().map(|entry| entry.key.clone());
         for entry in &page.items {
             match part {
-                Loading::Machines => shard.load_group(self.now, tail(entry, &self.keys.rosters()), entry),
-                Loading::Hires => shard.load_hire(entry),
+                Loading::Machines => shard.load_group(self.now, tail(entry, &self.keys.inventories()), entry),
+                Loading::Rentals => shard.load_rental(entry),
                 Loading::WatchCache => {}
                 Loading::Firings => {
                     let name = tail(entry, &self.keys.firings()).to_owned();
@@ -207,9 +207,9 @@
         }
         match (page.more, next, part) {
             (true, Some(after), _) => self.load(part, after),
-            (_, _, Loading::Machines) => self.load(Loading::Hires, String::new()),
+            (_, _, Loading::Machines) => self.load(Loading::Rentals, String::new()),
             // The watch cache must be newer than the claim before firings are read.
-            (_, _, Loading::Hires) => {
+            (_, _, Loading::Rentals) => {
                 let request = self.watch(0);
                 self.enqueue(Purpose::Load(Loading::WatchCache), request);
             }
@@ -642,7 +642,7 @@
                 .as_ref()
                 .map_or(0, |flight| self.now - flight.sent),
             queued = self.queue.len(),
-            asked = self.intake.len(),
+            asked = self.admission.len(),
             "shard"
         );
         let shard = SHARD.into();
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -12,14 +12,14 @@
 #[cfg(test)]
 pub use shard::tests::shard_with;
 
+use crate::admission::{Admission, AdmissionContext, Asker, Want};
 use crate::election::{LeaderElection, LeaseRequest, Phase};
-use crate::intake::{Asker, Intake, IntakeContext, Want};
 pub use crate::peers::WorkerReply;
 use crate::peers::{Answer, Ask, Message, Peers};
 use crate::policy::Policy;
 use crate::settings::{Connections, Settings};
 use crate::store::{Bucket, Keys, StoreReply, StoreRequest, WatchCache, WatchedChange};
-use crate::wire::{Catalogue, DirectCommands, HireRequest, JobSpec, MachineList, MachineNames, Report, Transaction};
+use crate::wire::{Catalogue, DirectCommands, JobSpec, MachineList, MachineNames, RentalRequest, Report, Transaction};
 use crate::{Millis, Now};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -80,7 +80,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum CloudRequest {
     Catalogue,
-    Hire(HireRequest),
+    Rental(RentalRequest),
     Delete(MachineNames),
     List { after: String },
 }
@@ -88,7 +88,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum CloudReply {
     Catalogue(Catalogue),
-    Hired(MachineNames),
+    Rented(MachineNames),
     NoCapacity,
     Deleted,
     Listed(MachineList),
@@ -115,7 +115,7 @@
     CheckClaim,
     ReadWatchCache,
     Watch,
-    /// Brings the watch cache up to date; for questions of intake, if not 0.
+    /// Brings the watch cache up to date; for questions of admission, if not 0.
     Sync {
         number: u64,
         sent: Millis,
@@ -134,7 +134,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Loading {
     Machines,
-    Hires,
+    Rentals,
     /// The watched keys, up to a revision after the claim.
     WatchCache,
     Firings,
@@ -164,7 +164,7 @@
     election: LeaderElection,
     watch_cache: WatchCache,
     catalogue: Option<Catalogue>,
-    intake: Intake,
+    admission: Admission,
     peers: Peers,
     shard: Option<Shard>,
 
@@ -236,7 +236,7 @@
             election: LeaderElection::new(&settings.node, life, settings.watch_cache_age_ms()),
             watch_cache: WatchCache::default(),
             catalogue: None,
-            intake: Intake::default(),
+            admission: Admission::default(),
             peers: Peers::new(nodes),
             shard: None,
             queue: VecDeque::new(),
@@ -325,8 +325,9 @@
             self.tell_all(&message);
         }
         self.ask_to_hold();
-        let wants =
-            self.with_intake(|intake, context, peers| intake.tick(context, &|node| peers.in_reach(context.now, node)));
+        let wants = self.with_admission(|admission, context, peers| {
+            admission.tick(context, &|node| peers.in_reach(context.now, node))
+        });
         self.carry_out(wants);
         self.follower_tick();
     }
@@ -336,7 +337,7 @@
         self.advance_watch_cache();
         self.advance_election();
         self.advance_leader();
-        if let Some(number) = self.intake.take_sync() {
+        if let Some(number) = self.admission.take_sync() {
             self.sync(number);
         }
         self.send_queued();
@@ -555,7 +556,7 @@
                     self.watch_cache_read(sent);
                 }
                 if number > 0 {
-                    let wants = self.with_intake(|intake, context, _| intake.synced(context, number, ok));
+                    let wants = self.with_admission(|admission, context, _| admission.synced(context, number, ok));
                     self.carry_out(wants);
                 }
             }
@@ -563,14 +564,14 @@
             Purpose::Commit => self.commit_answered(request, reply),
             Purpose::CheckCommit(evidence) => self.commit_checked(evidence, &reply),
             Purpose::ReadEnd(op) => {
-                let wants = self.intake.end_read(op, &reply);
+                let wants = self.admission.end_read(op, &reply);
                 self.carry_out(wants);
             }
             Purpose::Write(op) => {
                 if let StoreReply::Conflict { failed } = &reply {
                     self.check_claim_in(request, failed);
                 }
-                let wants = self.with_intake(|intake, context, _| intake.written(context, op, &reply));
+                let wants = self.with_admission(|admission, context, _| admission.written(context, op, &reply));
                 self.carry_out(wants);
             }
             Purpose::Catalogue | Purpose::Resign => {}
@@ -649,7 +650,7 @@
         }
     }
 
-    fn with_intake<T>(&mut self, act: impl FnOnce(&mut Intake, &IntakeContext, &Peers) -> T) -> T {
+    fn with_admission<T>(&mut self, act: impl FnOnce(&mut Admission, &AdmissionContext, &Peers) -> T) -> T {
         let claim = self
             .election
             .acting(self.now)
@@ -658,14 +659,14 @@
         let refuse = |spec: &JobSpec| {
             catalogue
                 .as_ref()
-                .map(|catalogue| crate::intake::check(spec, teams, catalogue))
+                .map(|catalogue| crate::admission::check(spec, teams, catalogue))
         };
         let (shard, peers) = (&self.shard, &self.peers);
         let counts = |id: &str| match shard {
             Some(shard) => shard.counts(id),
             None => peers.counts.get(id).copied(),
         };
-        let context = IntakeContext {
+        let context = AdmissionContext {
             now: self.now,
             wall: self.wall,
             keys: &self.keys,
@@ -675,7 +676,7 @@
             refuse: &refuse,
             counts: &counts,
         };
-        act(&mut self.intake, &context, &self.peers)
+        act(&mut self.admission, &context, &self.peers)
     }
 
     fn carry_out(&mut self, wants: Vec<Want>) {
@@ -717,7 +718,7 @@
     fn user(&mut self, request: u64, ask: Ask) {
         let forward = self.forward_to(&ask);
         let asker = Asker::User(request);
-        let wants = self.with_intake(|intake, context, _| intake.ask(context, asker, ask, forward));
+        let wants = self.with_admission(|admission, context, _| admission.ask(context, asker, ask, forward));
         self.carry_out(wants);
     }
 
@@ -744,9 +745,9 @@
         let shared_outage = self.peers.most_in_reach(self.now) && self.peers.with_store(self.now).is_none();
         let well = self.store_ok() || (self.watch_cache.complete && shared_outage);
         let answer = if well {
-            crate::intake::text(200, "")
+            crate::admission::text(200, "")
         } else {
-            crate::intake::busy("the state service can't be reached")
+            crate::admission::busy("the state service can't be reached")
         };
         self.outputs.push(Output::Answer { request, answer });
     }
--- a/src/controller/shard.rs
+++ b/src/controller/shard.rs
@@ -1,5 +1,5 @@
 use crate::Millis;
-use crate::fleet::{Fleet, GroupValue, Hire, HireValue, Roster};
+use crate::fleet::{Fleet, GroupValue, Inventory, Rental, RentalValue};
 use crate::ids::{Ix, Names, Table};
 use crate::pipeline::ledger::Ledger;
 use crate::pipeline::{ChunkValue, Job, JobBuilder, chunk_tasks, error_pause};
@@ -35,7 +35,7 @@
     /// After this much time without an answer a worker has dropped its tasks.
     pub lapse_ms: Millis,
     pub chunk_tasks: u32,
-    pub hire_prefix: String,
+    pub rental_prefix: String,
 
     pub team_names: Names,
     pub types: Names,
@@ -51,7 +51,7 @@
     pub tombstones: BTreeMap<String, Millis>,
     pub ledger: Ledger,
     pub fleet: Fleet,
-    pub roster: Roster,
+    pub inventory: Inventory,
     /// Machines that have something new to be told.
     pub to_push: BTreeSet<Ix>,
     /// When preemption was last looked for.
@@ -109,7 +109,7 @@
             start_within: within("wait"),
             lapse_ms: settings.lapse_ms(),
             chunk_tasks: chunk_tasks(params.state.value_kb),
-            hire_prefix: keys.hires(),
+            rental_prefix: keys.rentals(),
             team_names,
             types: Names::default(),
             zones,
@@ -123,7 +123,7 @@
             tombstones: BTreeMap::new(),
             ledger: Ledger::default(),
             fleet: Fleet::default(),
-            roster: Roster::new(params.state.value_kb),
+            inventory: Inventory::new(params.state.value_kb),
             to_push: BTreeSet::new(),
             preempted_at: 0,
             room_changed: true,
@@ -189,17 +189,17 @@
         let Some(machine) = self.machines.get_mut(ix).filter(|machine| machine.group.is_none()) else {
             return;
         };
-        machine.group = Some(self.roster.add(self.term, ix));
+        machine.group = Some(self.inventory.add(self.term, ix));
     }
 
-    /// Takes over what the former leader left: machines first, then hires, then
+    /// Takes over what the former leader left: machines first, then rentals, then
     /// every written firing. Jobs come by the watch cache before these.
     pub fn load_group(&mut self, now: Millis, name: &str, entry: &Entry) {
         let Ok(value) = serde_json::from_value::<GroupValue>(entry.value.clone()) else {
-            tracing::error!(key = entry.key, "a roster key can't be read");
+            tracing::error!(key = entry.key, "an inventory key can't be read");
             return;
         };
-        let group_ix = self.roster.load(name, entry.version);
+        let group_ix = self.inventory.load(name, entry.version);
         for (name, type_name, zone, spot, address) in value.machines {
             let type_ix = self.type_ix(&type_name);
             let zone = self.zones.intern(&zone);
@@ -213,21 +213,21 @@
                 ..Machine::new(&name, type_ix, zone, spot, now)
             };
             let ix = self.machines.insert(&name, machine);
-            if let Some(group) = self.roster.groups.get_mut(group_ix) {
+            if let Some(group) = self.inventory.groups.get_mut(group_ix) {
                 group.members.insert(ix);
             }
         }
     }
 
-    pub fn load_hire(&mut self, entry: &Entry) {
-        match serde_json::from_value::<HireValue>(entry.value.clone()) {
-            Ok(value) => self.fleet.hires.push(Hire {
+    pub fn load_rental(&mut self, entry: &Entry) {
+        match serde_json::from_value::<RentalValue>(entry.value.clone()) {
+            Ok(value) => self.fleet.rentals.push(Rental {
                 value,
                 version: entry.version,
                 in_flight: false,
                 not_before: 0,
             }),
-            Err(error) => tracing::error!(key = entry.key, %error, "a hire key can't be read"),
+            Err(error) => tracing::error!(key = entry.key, %error, "a rental key can't be read"),
         }
     }
 
@@ -245,7 +245,7 @@
             let machine_ix = match self.machines.find(&machine_name) {
                 Some(ix) => ix,
                 None => {
-                    // The roster drops it only after a deletion that the cloud
+                    // The inventory drops it only after a deletion that the cloud
                     // confirmed, so nothing of it is left.
                     continue;
                 }
@@ -497,7 +497,7 @@
             }
             self.to_push.remove(&ix);
             if let Some(group) = self.machines.remove(name).and_then(|machine| machine.group) {
-                self.roster.remove(group, ix);
+                self.inventory.remove(group, ix);
             }
             self.tombstones.insert(name.clone(), now);
             // The index may be given to another machine.
@@ -526,11 +526,11 @@
             machine.listed = true;
             machine.once_listed = true;
             if machine.heard_at.is_none() {
-                machine.hired_at = now.saturating_sub(crate::millis(listed.age_s));
+                machine.rented_at = now.saturating_sub(crate::millis(listed.age_s));
             }
             if machine.address.is_none() && listed.address.is_some() {
                 machine.address = listed.address.clone();
-                self.roster.late.extend(machine.group);
+                self.inventory.late.extend(machine.group);
             }
             if listed.state == MachineState::Running && machine.heard_at.is_none() {
                 self.to_push.insert(ix);
--- a/src/fleet/health.rs
+++ b/src/fleet/health.rs
@@ -115,7 +115,7 @@
         let silence_ms = self.silence_ms();
         let unlisted_ms = crate::millis(self.longest_report_interval_s()) + 1_500;
         let lapsed = now > machine.answered_at + self.lapse_ms;
-        let since = machine.last_sign().unwrap_or(machine.hired_at).max(self.hearing_since);
+        let since = machine.last_sign().unwrap_or(machine.rented_at).max(self.hearing_since);
         let unheard = |patience: Millis| now > since + patience;
         let zone_is_silent = self.fleet.silent_zones.contains(&machine.zone);
         let replaced_ms = silence_ms + crate::millis(boot_s * REPLACED_BOOT);
@@ -126,7 +126,7 @@
             Some(Failure::SilentAndUnlisted)
         } else if is_unreached(machine) && !overview.most_unreached {
             Some(Failure::NotReached)
-        } else if machine.last_sign().is_none() && now > machine.hired_at + boot_ms && unheard(silence_ms) && lapsed {
+        } else if machine.last_sign().is_none() && now > machine.rented_at + boot_ms && unheard(silence_ms) && lapsed {
             Some(Failure::NeverUp)
         } else if machine.is_sick() && !overview.most_sick {
             Some(Failure::Sick)
@@ -150,7 +150,7 @@
     pub(super) fn is_late(&self, now: Millis, machine: &Machine) -> bool {
         let due_ms = crate::millis(self.boot_s_of(machine) * LATE_BOOT + self.longest_report_interval_s());
         machine.last_sign().is_none()
-            && now > machine.hired_at + due_ms
+            && now > machine.rented_at + due_ms
             && now > self.hearing_since + FIRST_SIGN_MS
             && !self.fleet.silent_zones.contains(&machine.zone)
     }
--- a/src/fleet/roster.rs
+++ b/src/fleet/inventory.rs
@@ -23,7 +23,7 @@
 }
 
 #[derive(Debug, Default)]
-pub struct Roster {
+pub struct Inventory {
     pub groups: Table<Group>,
     /// Members a key holds at most.
     capacity: usize,
@@ -35,12 +35,12 @@
     pub late: BTreeSet<Ix>,
 }
 
-impl Roster {
-    pub fn new(value_kb: f64) -> Roster {
-        Roster {
+impl Inventory {
+    pub fn new(value_kb: f64) -> Inventory {
+        Inventory {
             // Well within a value, however long the names are in practice.
             capacity: ((value_kb * 1024.0 * 0.8 / 160.0) as usize).clamp(1, 64),
-            ..Roster::default()
+            ..Inventory::default()
         }
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,10 +3,10 @@
 
 mod forecast;
 mod health;
+mod inventory;
 mod provision;
-mod roster;
 
-pub use roster::{Group, GroupValue, Member, Roster};
+pub use inventory::{Group, GroupValue, Inventory, Member};
 
 use crate::Millis;
 use crate::controller::Shard;
@@ -19,10 +19,10 @@
 /// Boot time of a type that the catalogue does not give.
 const UNKNOWN_BOOT_S: f64 = 60.0;
 
-/// A hire's key, written before the cloud is asked, so that a successor can
+/// A rental's key, written before the cloud is asked, so that a successor can
 /// repeat the same request and learn what came of it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct HireValue {
+pub struct RentalValue {
     pub request: String,
     pub machine_type: String,
     pub zone: String,
@@ -30,10 +30,10 @@
     pub count: u32,
 }
 
-/// A hire written and not yet answered for.
+/// A rental written and not yet answered for.
 #[derive(Clone, Debug)]
-pub struct Hire {
-    pub value: HireValue,
+pub struct Rental {
+    pub value: RentalValue,
     pub version: u64,
     pub in_flight: bool,
     pub not_before: Millis,
@@ -59,7 +59,7 @@
 
 #[derive(Debug, Default)]
 pub struct Fleet {
-    pub hires: Vec<Hire>,
+    pub rentals: Vec<Rental>,
     next_request: u64,
     /// Offers refused lately, and until when they are left alone.
     pub refused: BTreeMap<Offer, Millis>,
@@ -74,7 +74,7 @@
 }
 
 impl Shard {
-    /// Looks over the machines and the forecast; hires and condemns.
+    /// Looks over the machines and the forecast; rents and condemns.
     pub fn plan_fleet(&mut self, now: Millis) {
         if now < self.fleet.planned_at + PLAN_EVERY_MS {
             return;
--- a/src/fleet/provision.rs
+++ b/src/fleet/provision.rs
@@ -2,7 +2,7 @@
 //! price, and returning what stays unused.
 
 use super::forecast::Want;
-use super::{HireValue, Offer};
+use super::{Offer, RentalValue};
 use crate::Millis;
 use crate::controller::Shard;
 use crate::ids::Ix;
@@ -10,10 +10,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Machines asked for at once by one request: the most that the cloud takes.
-const MAX_HIRE: u32 = 50;
+const MAX_RENTAL: u32 = 50;
 /// Unanswered requests for one offer. More would only queue for the cloud's
 /// rate, and all but the first be in vain where there is no capacity.
-const MAX_OPEN_HIRES: u32 = 2;
+const MAX_OPEN_RENTALS: u32 = 2;
 
 /// A machine there is or, without an index, one asked for.
 pub(super) struct Place {
@@ -52,7 +52,7 @@
 }
 
 impl Shard {
-    /// Packs the forecast into the machines there are and on their way; hires
+    /// Packs the forecast into the machines there are and on their way; rents
     /// for what is left over and returns what stays unused.
     pub(super) fn provision(&mut self, now: Millis, wants: Vec<Want>) {
         let mut places = self.places(now);
@@ -85,9 +85,9 @@
             let most = (self.policy.max_machines as u32).saturating_sub(total);
             let mut left = count.min(most);
             let mut open = self.asked_for().filter(|&(other, _)| other == offer).count() as u32;
-            while left > 0 && open < MAX_OPEN_HIRES {
-                let count = left.min(MAX_HIRE);
-                self.hire(offer, count);
+            while left > 0 && open < MAX_OPEN_RENTALS {
+                let count = left.min(MAX_RENTAL);
+                self.rental(offer, count);
                 total += count;
                 left -= count;
                 open += 1;
@@ -134,11 +134,11 @@
 
     /// Requests that are not answered yet: what for, and how many machines.
     fn asked_for(&self) -> impl Iterator<Item = (Offer, u32)> {
-        let hires = self.fleet.hires.iter().map(|hire| &hire.value);
-        hires.chain(&self.ledger.hires).filter_map(|hire| {
-            let type_ix = self.types.get(&hire.machine_type)?;
-            let zone = self.zones.get(&hire.zone)?;
-            Some(((type_ix, zone, hire.spot), hire.count))
+        let rentals = self.fleet.rentals.iter().map(|rental| &rental.value);
+        rentals.chain(&self.ledger.rentals).filter_map(|rental| {
+            let type_ix = self.types.get(&rental.machine_type)?;
+            let zone = self.zones.get(&rental.zone)?;
+            Some(((type_ix, zone, rental.spot), rental.count))
         })
     }
 
@@ -208,11 +208,11 @@
         best.map(|(_, offer, fits)| (offer, fits))
     }
 
-    fn hire(&mut self, (type_ix, zone, spot): Offer, count: u32) {
+    fn rental(&mut self, (type_ix, zone, spot): Offer, count: u32) {
         // The term is ours alone, so the name was never used before.
         let request = format!("{}-{}-{}", self.name, self.term, self.fleet.next_request);
         self.fleet.next_request += 1;
-        self.ledger.hires.push_back(HireValue {
+        self.ledger.rentals.push_back(RentalValue {
             request,
             machine_type: self.types.name(type_ix).into(),
             zone: self.zones.name(zone).into(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,11 +4,11 @@
 //! Every slice keeps its own state and messages; [`controller`] composes them
 //! into one deterministic state machine and [`runtime`] alone does I/O.
 
+pub mod admission;
 pub mod controller;
 pub mod election;
 pub mod fleet;
 pub mod ids;
-pub mod intake;
 pub mod memory;
 pub mod peers;
 pub mod pipeline;
--- a/src/pipeline/ledger.rs
+++ b/src/pipeline/ledger.rs
@@ -7,7 +7,7 @@
 use super::{ChunkValue, OpenRecord};
 use crate::Millis;
 use crate::controller::Shard;
-use crate::fleet::{GroupValue, HireValue, Member};
+use crate::fleet::{GroupValue, Member, RentalValue};
 use crate::ids::Ix;
 use crate::store::Keys;
 use crate::wire::{Change, Condition, Standing, Transaction};
@@ -31,8 +31,8 @@
     pub finished: BTreeSet<Ix>,
     /// Ended jobs none of whose attempts is open: their keys can go.
     pub cleanups: BTreeSet<Ix>,
-    pub hires: VecDeque<HireValue>,
-    /// Hire keys answered for: request and version.
+    pub rentals: VecDeque<RentalValue>,
+    /// Rental keys answered for: request and version.
     pub settled: VecDeque<(String, u64)>,
     pub in_flight: Option<InFlight>,
 }
@@ -47,9 +47,9 @@
     chunks: Vec<(Ix, u32)>,
     finished: Vec<Ix>,
     cleanups: Vec<(Ix, bool)>,
-    /// Roster groups, and the machines that they name.
+    /// Inventory groups, and the machines that they name.
     groups: Vec<(Ix, Vec<String>)>,
-    hires: Vec<HireValue>,
+    rentals: Vec<RentalValue>,
 }
 
 /// What a committed transaction allows next.
@@ -57,8 +57,8 @@
 pub struct Committed {
     /// Machines that have something new to be told.
     pub push: BTreeSet<Ix>,
-    /// Hires that may now be asked for, with their key's version.
-    pub hires: Vec<(HireValue, u64)>,
+    /// Rentals that may now be asked for, with their key's version.
+    pub rentals: Vec<(RentalValue, u64)>,
     /// Jobs that are done and answered for.
     pub done: Vec<String>,
 }
@@ -68,8 +68,8 @@
     pub fn starts_wait(&self) -> bool {
         !(self.ledger.starts.is_empty()
             && self.ledger.finished.is_empty()
-            && self.ledger.hires.is_empty()
-            && self.roster.urgent.is_empty())
+            && self.ledger.rentals.is_empty()
+            && self.inventory.urgent.is_empty())
     }
 }
 
@@ -140,8 +140,8 @@
             ..InFlight::default()
         };
         self.draft_finished(keys, &mut draft, &mut flight);
-        self.draft_roster(keys, false, &mut draft, &mut flight);
-        self.draft_hires(keys, &mut draft, &mut flight);
+        self.draft_inventory(keys, false, &mut draft, &mut flight);
+        self.draft_rentals(keys, &mut draft, &mut flight);
         let starts = self.ledger.starts.clone();
         self.draft_chunks(keys, starts, &mut draft, &mut flight);
         draft.ops = max_ops.min(spare.max(draft.transaction.changes.len()));
@@ -157,7 +157,7 @@
         });
         let chunks = chunks.collect();
         self.draft_chunks(keys, chunks, &mut draft, &mut flight);
-        self.draft_roster(keys, true, &mut draft, &mut flight);
+        self.draft_inventory(keys, true, &mut draft, &mut flight);
         if draft.transaction.changes.is_empty() {
             return None;
         }
@@ -200,29 +200,29 @@
         }
     }
 
-    /// Roster groups: `late` ones as well, or only those that machines wait for.
-    fn draft_roster(&mut self, keys: &Keys, late: bool, draft: &mut Draft, flight: &mut InFlight) {
-        let mut due: BTreeSet<Ix> = self.roster.urgent.clone();
+    /// Inventory groups: `late` ones as well, or only those that machines wait for.
+    fn draft_inventory(&mut self, keys: &Keys, late: bool, draft: &mut Draft, flight: &mut InFlight) {
+        let mut due: BTreeSet<Ix> = self.inventory.urgent.clone();
         if late {
-            due.extend(&self.roster.late);
+            due.extend(&self.inventory.late);
         }
         for ix in due {
-            let Some(group) = self.roster.groups.get(ix) else {
-                self.roster.urgent.remove(&ix);
-                self.roster.late.remove(&ix);
+            let Some(group) = self.inventory.groups.get(ix) else {
+                self.inventory.urgent.remove(&ix);
+                self.inventory.late.remove(&ix);
                 continue;
             };
             let bytes = 100 + group.members.len() * 120;
             if !draft.room(1, bytes) {
                 return;
             }
-            self.roster.urgent.remove(&ix);
-            self.roster.late.remove(&ix);
+            self.inventory.urgent.remove(&ix);
+            self.inventory.late.remove(&ix);
             if group.members.is_empty() && group.version == 0 {
-                self.roster.forget(ix);
+                self.inventory.forget(ix);
                 continue;
             }
-            let key = keys.roster(&group.name);
+            let key = keys.inventory(&group.name);
             draft.require(key.clone(), group.version);
             let members = group.members.iter().filter_map(|&member| self.machines.get(member));
             let machines: Vec<Member> = members
@@ -248,23 +248,23 @@
         }
     }
 
-    fn draft_hires(&mut self, keys: &Keys, draft: &mut Draft, flight: &mut InFlight) {
+    fn draft_rentals(&mut self, keys: &Keys, draft: &mut Draft, flight: &mut InFlight) {
         while draft.room(1, 200) {
-            let Some(hire) = self.ledger.hires.pop_front() else {
+            let Some(rental) = self.ledger.rentals.pop_front() else {
                 break;
             };
-            let key = keys.hire(&hire.request);
+            let key = keys.rental(&rental.request);
             draft.require(key.clone(), 0);
-            draft.change(Change::put(key, json!(hire)), 200);
-            flight.hires.push(hire);
+            draft.change(Change::put(key, json!(rental)), 200);
+            flight.rentals.push(rental);
         }
-        // A hire's key goes only after the machines it brought are written.
-        while self.roster.urgent.is_empty() && draft.room(1, 100) {
+        // A rental's key goes only after the machines it brought are written.
+        while self.inventory.urgent.is_empty() && draft.room(1, 100) {
             let Some((request, version)) = self.ledger.settled.pop_front() else {
                 break;
             };
-            draft.require(keys.hire(&request), version);
-            draft.change(Change::delete(keys.hire(&request)), 100);
+            draft.require(keys.rental(&request), version);
+            draft.change(Change::delete(keys.rental(&request)), 100);
         }
     }
 
@@ -430,7 +430,7 @@
                 self.group_dropped(ix);
                 continue;
             }
-            if let Some(group) = self.roster.groups.get_mut(ix) {
+            if let Some(group) = self.inventory.groups.get_mut(ix) {
                 group.version = revision;
             }
             // By name: an index may be another machine's by now.
@@ -440,15 +440,15 @@
                 }
             }
         }
-        result.hires = flight.hires.into_iter().map(|hire| (hire, revision)).collect();
+        result.rentals = flight.rentals.into_iter().map(|rental| (rental, revision)).collect();
         result
     }
 
     /// A group's key is deleted. Machines may have joined it meanwhile.
     fn group_dropped(&mut self, ix: Ix) {
-        match self.roster.groups.get_mut(ix) {
+        match self.inventory.groups.get_mut(ix) {
             Some(group) if !group.members.is_empty() => group.version = 0,
-            _ => self.roster.forget(ix),
+            _ => self.inventory.forget(ix),
         }
     }
 
@@ -473,9 +473,9 @@
         }
         self.ledger.finished.extend(flight.finished);
         self.ledger.cleanups.extend(flight.cleanups.iter().map(|(ix, _)| *ix));
-        self.roster.urgent.extend(flight.groups.iter().map(|(ix, _)| *ix));
-        self.ledger.hires.extend(flight.hires);
-        // Plain deletions of hire keys carry their own versions.
+        self.inventory.urgent.extend(flight.groups.iter().map(|(ix, _)| *ix));
+        self.ledger.rentals.extend(flight.rentals);
+        // Plain deletions of rental keys carry their own versions.
         let versions: BTreeMap<&str, u64> = flight
             .transaction
             .conditions
@@ -487,7 +487,7 @@
                 continue;
             };
             let version = versions.get(delete.as_str()).copied().unwrap_or(0);
-            if let Some(request) = delete.strip_prefix(&self.hire_prefix) {
+            if let Some(request) = delete.strip_prefix(&self.rental_prefix) {
                 self.ledger.settled.push_back((request.into(), version));
             }
         }
--- a/src/runtime/calls.rs
+++ b/src/runtime/calls.rs
@@ -70,7 +70,7 @@
         self.run(&self.events, async move {
             let (method, path, body) = match &request {
                 CloudRequest::Catalogue => (Method::GET, "/catalog".into(), Vec::new()),
-                CloudRequest::Hire(hire) => (Method::POST, "/machines".into(), json(hire)),
+                CloudRequest::Rental(rental) => (Method::POST, "/machines".into(), json(rental)),
                 CloudRequest::Delete(names) => (Method::POST, "/machines/delete".into(), json(names)),
                 CloudRequest::List { after } => (Method::GET, format!("/machines?since={after}&limit=500"), Vec::new()),
             };
@@ -191,9 +191,9 @@
     };
     let reply = match (request, status) {
         (CloudRequest::Catalogue, 200) => read(&body).map(CloudReply::Catalogue),
-        (CloudRequest::Hire(_), 200) => read(&body).map(CloudReply::Hired),
-        (CloudRequest::Hire(_), 503) if no_capacity(&body) => Some(CloudReply::NoCapacity),
-        (CloudRequest::Hire(_), 400) => Some(CloudReply::Malformed),
+        (CloudRequest::Rental(_), 200) => read(&body).map(CloudReply::Rented),
+        (CloudRequest::Rental(_), 503) if no_capacity(&body) => Some(CloudReply::NoCapacity),
+        (CloudRequest::Rental(_), 400) => Some(CloudReply::Malformed),
         (CloudRequest::Delete(_), 200) => Some(CloudReply::Deleted),
         (CloudRequest::List { .. }, 200) => read(&body).map(CloudReply::Listed),
         (_, 429 | 503) => Some(CloudReply::Unavailable),
--- a/src/runtime/front.rs
+++ b/src/runtime/front.rs
@@ -1,7 +1,7 @@
 //! Endpoints for users, workers and health checks.
 
 use super::Event;
-use crate::intake::{busy, text};
+use crate::admission::{busy, text};
 use crate::peers::{Answer, Ask};
 use poem::http::{Method, StatusCode};
 use poem::{Body, Endpoint, Request, Response};
--- a/src/runtime/http_server/tests.rs
+++ b/src/runtime/http_server/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::intake::text;
+use crate::admission::text;
 use crate::runtime::Event;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc;
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -113,19 +113,19 @@
         format!("kept/{}/firing/{id}/{chunk}", self.shard)
     }
 
-    pub fn rosters(&self) -> String {
+    pub fn inventories(&self) -> String {
         format!("kept/{}/roster/", self.shard)
     }
 
-    pub fn roster(&self, group: &str) -> String {
+    pub fn inventory(&self, group: &str) -> String {
         format!("kept/{}/roster/{group}", self.shard)
     }
 
-    pub fn hires(&self) -> String {
+    pub fn rentals(&self) -> String {
         format!("kept/{}/hire/", self.shard)
     }
 
-    pub fn hire(&self, request: &str) -> String {
+    pub fn rental(&self, request: &str) -> String {
         format!("kept/{}/hire/{request}", self.shard)
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -240,7 +240,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct HireRequest {
+pub struct RentalRequest {
     #[serde(rename = "hireSlip")]
     pub request: String,
     #[serde(rename = "rig")]
@@ -253,7 +253,7 @@
     pub count: u32,
 }
 
-/// Machine names: what a hire returns and a deletion asks for.
+/// Machine names: what a rental returns and a deletion asks for.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MachineNames {
     #[serde(rename = "stalls")]
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -65,7 +65,7 @@
         let new_session = report.session > machine.session;
         if machine.address.as_deref() != Some(report.address.as_str()) {
             machine.address = Some(report.address.clone());
-            self.roster.late.extend(machine.group);
+            self.inventory.late.extend(machine.group);
         }
         machine.session = report.session;
         machine.seq = report.seq;
--- a/src/workers/merge/tests.rs
+++ b/src/workers/merge/tests.rs
@@ -177,7 +177,7 @@
 
 /// Guards against bringing back a machine returned so long ago that it was
 /// forgotten: a report alone, even of this term, does not put it in the
-/// roster, and hires don't count on it.
+/// inventory, and rentals don't count on it.
 #[test]
 fn a_machine_known_by_hearsay_counts_for_nothing() {
     let (mut shard, _) = shard();
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -76,10 +76,10 @@
     pub type_ix: Ix,
     pub zone: Ix,
     pub spot: bool,
-    /// Its group in the roster, and whether the group's key names it yet.
+    /// Its group in the inventory, and whether the group's key names it yet.
     pub group: Option<Ix>,
     pub written: bool,
-    pub hired_at: Millis,
+    pub rented_at: Millis,
     /// In the cloud's list now being read; in any; missing from the last one.
     pub listed: bool,
     pub once_listed: bool,
@@ -188,7 +188,7 @@
             spot,
             group: None,
             written: false,
-            hired_at: now,
+            rented_at: now,
             listed: false,
             once_listed: false,
             unlisted: false,
@@ -219,7 +219,7 @@
         }
     }
 
-    /// May be given new tasks: the roster names it (a successor must know of
+    /// May be given new tasks: the inventory names it (a successor must know of
     /// it), it was heard by this leader, and nothing speaks against it.
     pub fn usable(&self, now: Millis) -> bool {
         self.written
--- a/tests/rules/world/cloud.rs
+++ b/tests/rules/world/cloud.rs
@@ -33,7 +33,7 @@
             machine_type: machine_type.into(),
             zone: zone.into(),
             spot,
-            hired_at: self.now,
+            rented_at: self.now,
             up_at: self.now + boot,
             gone: false,
             cut_until: 0,
@@ -59,18 +59,18 @@
         }
         match request {
             CloudRequest::Catalogue => CloudReply::Catalogue(catalogue()),
-            CloudRequest::Hire(hire) => {
-                if let Some(names) = self.hired.get(&hire.request) {
-                    return CloudReply::Hired(MachineNames {
+            CloudRequest::Rental(rental) => {
+                if let Some(names) = self.rented.get(&rental.request) {
+                    return CloudReply::Rented(MachineNames {
                         machines: names.clone(),
                     });
                 }
                 let there = self
                     .workers
                     .values()
-                    .filter(|w| !w.gone && w.zone == hire.zone && w.spot == hire.spot)
+                    .filter(|w| !w.gone && w.zone == rental.zone && w.spot == rental.spot)
                     .count();
-                let count = (hire.count as usize).min(self.capacity.saturating_sub(there));
+                let count = (rental.count as usize).min(self.capacity.saturating_sub(there));
                 if count == 0 {
                     return CloudReply::NoCapacity;
                 }
@@ -86,12 +86,12 @@
                     } else {
                         self.rng.random_range(500..8_000)
                     };
-                    let worker = self.new_worker(&name, &hire.machine_type, &hire.zone, hire.spot, boot);
+                    let worker = self.new_worker(&name, &rental.machine_type, &rental.zone, rental.spot, boot);
                     self.workers.insert(name.clone(), worker);
                     names.push(name);
                 }
-                self.hired.insert(hire.request.clone(), names.clone());
-                CloudReply::Hired(MachineNames { machines: names })
+                self.rented.insert(rental.request.clone(), names.clone());
+                CloudReply::Rented(MachineNames { machines: names })
             }
             CloudRequest::Delete(names) => {
                 for name in &names.machines {
@@ -115,7 +115,7 @@
                         } else {
                             MachineState::Starting
                         },
-                        age_s: (self.now - w.hired_at) as f64 / 1000.0,
+                        age_s: (self.now - w.rented_at) as f64 / 1000.0,
                     });
                 let mut machines: Vec<ListedMachine> = listed.take(LIST_LIMIT + 1).collect();
                 let more = machines.len() > LIST_LIMIT;
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -187,7 +187,7 @@
     mistaken: BTreeSet<String>,
     watches: Vec<(u64, usize, u64, u64, StoreRequest)>,
     workers: BTreeMap<String, Worker>,
-    hired: BTreeMap<String, Vec<String>>,
+    rented: BTreeMap<String, Vec<String>>,
     next_machine: u32,
     pub jobs: Vec<UserJob>,
     requests: BTreeMap<(usize, u64), Waiting>,
@@ -270,7 +270,7 @@
             mistaken: BTreeSet::new(),
             watches: Vec::new(),
             workers: BTreeMap::new(),
-            hired: BTreeMap::new(),
+            rented: BTreeMap::new(),
             next_machine: 0,
             jobs: Vec::new(),
             requests: BTreeMap::new(),
@@ -336,7 +336,7 @@
 
     /// Machines rented so far, those returned since among them.
     pub fn machines_rented(&self) -> usize {
-        self.hired.values().map(Vec::len).sum()
+        self.rented.values().map(Vec::len).sum()
     }
 
     pub fn machine_names(&self) -> BTreeSet<String> {
--- a/tests/rules/world/worker.rs
+++ b/tests/rules/world/worker.rs
@@ -27,7 +27,7 @@
     pub machine_type: String,
     pub zone: String,
     pub spot: bool,
-    pub hired_at: u64,
+    pub rented_at: u64,
     pub up_at: u64,
     pub gone: bool,
     pub cut_until: u64,
