--- /dev/null
+++ b/src/controller/claim.rs
@@ -0,0 +1,229 @@
+//! The leader's claim: taken, renewed, raised to a new term, checked and given up.
+
+use super::{Controller, Loading, Purpose, Shard};
+use crate::Millis;
+use crate::controller::SHARD;
+use crate::election::Phase;
+use crate::ids::Ix;
+use crate::store::{StoreReply, StoreRequest};
+use crate::wire::Transaction;
+use std::sync::Arc;
+
+/// Raising the term costs a fresh start, so not more often than this.
+const RECLAIM_EVERY_MS: Millis = 8_000;
+/// A leader that hears nobody, no controller and no worker, for this long
+/// gives the shard up for another to take.
+const ISOLATED_MS: Millis = 4_000;
+
+impl Controller {
+    pub(super) fn leader_changed(&mut self) {
+        let Some((leader, version)) = &self.watch_cache.leader else {
+            return;
+        };
+        if self.election.holds_claim() && leader.term > self.election.term {
+            tracing::warn!(by = leader.node, version, "somebody else leads the shard");
+            self.follow(0);
+        }
+    }
+
+    pub(super) fn follow(&mut self, hold_off: Millis) {
+        self.election.step_down(self.now, hold_off);
+        self.shard = None;
+        self.reclaim_wanted = false;
+        self.raising = false;
+        self.cloud.forget();
+        self.pushes.clear();
+        self.calls.retain(|_, (purpose, _)| !is_of_one_term(purpose));
+        self.queue.retain(|queued| !is_of_one_term(&queued.purpose));
+    }
+
+    pub(super) fn granted(&mut self, reply: StoreReply) {
+        if self.election.phase != Phase::Granting {
+            return;
+        }
+        match reply {
+            StoreReply::Granted { lease } => {
+                let sent = self.election.asked_at();
+                match self.election.granted(lease, sent, &self.keys, &self.watch_cache) {
+                    Some(transaction) => self.send_claim(transaction),
+                    None => self.follow(0),
+                }
+            }
+            _ => self.election.step_down(self.now, 500),
+        }
+    }
+
+    pub(super) fn claim_answered(&mut self, transaction: Arc<Transaction>, sent: Millis, reply: StoreReply) {
+        if self.election.phase != Phase::Claiming {
+            return;
+        }
+        match reply {
+            StoreReply::Committed { revision } => self.claimed(revision),
+            // Perhaps applied: the same again is applied or conflicts, and a
+            // conflict is told apart by reading the claim.
+            StoreReply::Lost | StoreReply::Unavailable if self.now < sent + crate::election::LEASE_MS => {
+                self.queue.push_back(super::Queued {
+                    purpose: Purpose::Claim {
+                        transaction: transaction.clone(),
+                        sent,
+                    },
+                    request: StoreRequest::Transact(transaction),
+                    not_before: self.now + 200,
+                });
+            }
+            StoreReply::Conflict { .. } => self.enqueue(Purpose::CheckClaim, StoreRequest::Get(self.keys.leader())),
+            _ => self.follow(500),
+        }
+    }
+
+    pub(super) fn claimed(&mut self, version: u64) {
+        self.election.claimed(version);
+        self.claimed_at = self.now;
+        self.reclaimed_at = self.now;
+        if self.raising && !self.reclaim_wanted {
+            self.raised();
+            return;
+        }
+        self.raising = false;
+        self.reclaim_wanted = false;
+        self.loading_since = self.now;
+        self.load_heard_at = self.now;
+        self.worker_heard_at = self.now;
+        // Nothing of the former term counts: what was in flight under it is
+        // void, and what it did is read back.
+        self.calls.retain(|_, (purpose, _)| !is_of_one_term(purpose));
+        self.queue.retain(|queued| !is_of_one_term(&queued.purpose));
+        self.cloud.forget();
+        self.pushes.clear();
+        let mut shard = Shard::new(SHARD, self.election.term, &self.settings, &self.policy);
+        if let Some(catalogue) = &self.catalogue {
+            shard.set_catalogue(catalogue);
+        }
+        self.shard = Some(shard);
+        self.load(Loading::Machines, String::new());
+    }
+
+    /// The term rose over the own claim, with nothing of the old one in flight to
+    /// the state service: what is known still holds, and only the workers have
+    /// to see the new token.
+    pub(super) fn raised(&mut self) {
+        self.raising = false;
+        self.election.phase = Phase::Active;
+        let Some(shard) = &mut self.shard else {
+            return;
+        };
+        shard.term = self.election.term;
+        let doubtful = shard.machines.iter().filter(|(_, machine)| machine.doubt > 0);
+        let doubtful: Vec<Ix> = doubtful.map(|(ix, _)| ix).collect();
+        shard.to_push.extend(doubtful);
+        self.place_wanted = true;
+    }
+
+    pub(super) fn renew_answered(&mut self, sent: Millis, reply: StoreReply) {
+        match reply {
+            StoreReply::Renewed => {
+                self.election.renewed(self.now, sent);
+                if self.election.suspended {
+                    self.sync(0);
+                }
+            }
+            StoreReply::LeaseGone if self.election.holds_claim() => {
+                tracing::warn!("the lease has ended");
+                self.follow(0);
+            }
+            _ => self.election.renewal_failed(self.now),
+        }
+    }
+
+    /// The watch cache holds all that was written before `sent`. After a lapse that is
+    /// what acting again waits for: a cancellation may have come in the meantime,
+    /// and the claim may be another's.
+    pub(super) fn watch_cache_read(&mut self, sent: Millis) {
+        self.election.watch_cache_read(sent);
+        if !self.election.may_resume(self.now, sent) {
+            return;
+        }
+        let claim = self.watch_cache.leader.as_ref();
+        let ours = claim
+            .is_some_and(|(leader, version)| self.election.is_mine(leader) && *version == self.election.claim_version);
+        if ours {
+            self.election.resume();
+        } else {
+            self.follow(0);
+        }
+    }
+
+    pub(super) fn claim_checked(&mut self, reply: StoreReply) {
+        if self.election.phase != Phase::Claiming {
+            return;
+        }
+        match reply {
+            StoreReply::Found { value, version } => {
+                let leader = serde_json::from_value(value);
+                if leader.is_ok_and(|leader| self.election.is_mine(&leader)) {
+                    self.claimed(version);
+                } else {
+                    self.follow(0);
+                }
+            }
+            StoreReply::Missing => self.follow(0),
+            _ => self.follow(500),
+        }
+    }
+
+    /// A transaction conflicted: if the claim was among the reasons, it is gone.
+    /// Unless the transaction was older than our present claim.
+    pub(super) fn check_claim_in(&mut self, request: &StoreRequest, failed: &[String]) -> bool {
+        let condition = self.election.condition(&self.keys);
+        let present =
+            matches!(request, StoreRequest::Transact(transaction) if transaction.conditions.contains(&condition));
+        let lost = present && self.election.holds_claim() && failed.contains(&condition.key);
+        if lost {
+            tracing::warn!(term = self.election.term, "the claim is gone");
+            self.follow(0);
+        }
+        lost
+    }
+
+    pub(super) fn is_isolated(&self) -> bool {
+        !self.peers.is_alone()
+            && self.now > self.claimed_at + ISOLATED_MS
+            && self.now > self.peers.last_heard() + ISOLATED_MS
+            && self.now > self.worker_heard_at + ISOLATED_MS
+    }
+
+    /// Starts a new term over the own claim where one is called for.
+    pub(super) fn reclaim(&mut self) -> bool {
+        let Some(shard) = &mut self.shard else {
+            return false;
+        };
+        let wanted = self.reclaim_wanted || shard.withdraw;
+        // Claiming gives up what the others promised, and can't succeed in an outage.
+        if !wanted || !self.election.lease_valid(self.now) || self.now < self.reclaimed_at + RECLAIM_EVERY_MS {
+            return false;
+        }
+        // What is in flight depends on the claim as it is.
+        self.raising = true;
+        if !self.reclaim_wanted && shard.ledger.in_flight.is_some() {
+            return false;
+        }
+        shard.withdraw = false;
+        tracing::info!(term = self.election.term, "raising the term");
+        let transaction = self.election.reclaim(&self.keys, &self.watch_cache);
+        self.send_claim(transaction);
+        true
+    }
+}
+
+/// Whether requests of this kind mean something only within one term.
+fn is_of_one_term(purpose: &Purpose) -> bool {
+    matches!(
+        purpose,
+        Purpose::Load(_)
+            | Purpose::Commit
+            | Purpose::CheckCommit(_)
+            | Purpose::CheckClaim
+            | Purpose::Renew { .. }
+            | Purpose::Claim { .. }
+    )
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -2,11 +2,14 @@
 //! [`Controller::step`] takes what happened and returns what to send, write and
 //! answer; it does no I/O and has no clock or randomness of its own.
 
+mod claim;
 mod cloud;
 mod commits;
+mod direct_commands;
 mod follower;
 mod leader;
 mod shard;
+mod takeover;
 
 pub use shard::Shard;
 #[cfg(test)]
@@ -186,7 +189,7 @@
 
     cloud: cloud::Calls,
     /// Direct commands in flight.
-    pushes: BTreeMap<u64, leader::DirectCall>,
+    pushes: BTreeMap<u64, direct_commands::DirectCall>,
     pushed_at: Millis,
     next_path: usize,
     claimed_at: Millis,
