--- a/src/controller/commits/tests.rs
+++ b/src/controller/commits/tests.rs
@@ -1,5 +1,6 @@
-use super::super::{Output, Phase, shard_with};
+use super::super::{Output, shard_with};
 use super::*;
+use crate::election::Phase;
 use crate::policy::Policy;
 use crate::settings::{Settings, tests::SAMPLE};
 use crate::wire::Standing;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -8,21 +8,24 @@
 mod direct_commands;
 mod follower;
 mod leader;
+mod requests;
 mod shard;
+mod store_calls;
 mod takeover;
+mod watching;
 
 pub use shard::Shard;
 #[cfg(test)]
 pub use shard::tests::shard_with;
 
-use crate::admission::{Admission, AdmissionContext, Asker, Want};
-use crate::election::{LeaderElection, LeaseRequest, Phase};
+use crate::admission::Admission;
+use crate::election::{LeaderElection, LeaseRequest};
 pub use crate::peers::WorkerReply;
 use crate::peers::{Answer, Ask, Message, Peers};
 use crate::policy::Policy;
 use crate::settings::{Connections, Settings};
-use crate::store::{Bucket, Keys, StoreReply, StoreRequest, WatchCache, WatchedChange};
-use crate::wire::{Catalogue, DirectCommands, JobSpec, MachineList, MachineNames, RentalRequest, Report, Transaction};
+use crate::store::{Bucket, Keys, StoreReply, StoreRequest, WatchCache};
+use crate::wire::{Catalogue, DirectCommands, MachineList, MachineNames, RentalRequest, Report, Transaction};
 use crate::{Millis, Now};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -33,15 +36,6 @@
 
 /// The state service is taken for reachable this long after its last answer.
 const STORE_OK_MS: Millis = 3_000;
-const CHECK_STORE_MS: Millis = 1_000;
-const WATCH_WAIT_MS: u64 = 10_000;
-/// Changes that come close together are taken in one answer.
-const WATCH_PAUSE_MS: Millis = 150;
-/// Pause before a failed read or watch is tried again.
-const RETRY_MS: Millis = 300;
-/// Requests to the state service that wait are those of this long at its rate: users
-/// give up before any more would be sent.
-const STORE_QUEUE_S: f64 = 3.0;
 
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -346,46 +340,6 @@
         self.send_queued();
     }
 
-    fn advance_watch_cache(&mut self) {
-        if !self.watch_cache.complete {
-            if !self.reading && self.now >= self.read_not_before {
-                self.reading = true;
-                self.enqueue(
-                    Purpose::ReadWatchCache,
-                    StoreRequest::List {
-                        prefix: self.keys.watched(),
-                        after: String::new(),
-                    },
-                );
-            }
-            return;
-        }
-        if !self.watching && self.now >= self.watch_not_before {
-            self.watching = true;
-            self.enqueue(Purpose::Watch, self.watch(WATCH_WAIT_MS));
-        }
-        // Without other traffic, a look now and then tells whether the state
-        // service can be reached, and keeps the watch cache fresh.
-        if self.now >= self.store_asked_at + CHECK_STORE_MS {
-            self.sync(0);
-        }
-    }
-
-    fn sync(&mut self, number: u64) {
-        self.store_asked_at = self.now;
-        let sent = self.now;
-        self.enqueue(Purpose::Sync { number, sent }, self.watch(0));
-    }
-
-    /// What has changed of the watched keys since the watch cache's revision.
-    fn watch(&self, wait_ms: u64) -> StoreRequest {
-        StoreRequest::Watch {
-            prefix: self.keys.watched(),
-            since: self.watch_cache.revision,
-            wait_ms,
-        }
-    }
-
     fn advance_election(&mut self) {
         let others = self.peers.is_alone() || self.peers.any_in_reach(self.now);
         match self.election.poll(self.now, &self.watch_cache, others) {
@@ -432,328 +386,6 @@
             StoreRequest::Transact(transaction),
         );
     }
-
-    fn enqueue(&mut self, purpose: Purpose, request: StoreRequest) {
-        let not_before = self.now;
-        self.queue.push_back(Queued {
-            purpose,
-            request,
-            not_before,
-        });
-    }
-
-    /// Sends what the rate budget allows. Lease and claim go first and are
-    /// never held back: a share of the rate is kept for them.
-    fn send_queued(&mut self) {
-        let (part, writes, user_writes) = self.budget();
-        self.requests.set_rate(self.settings.params.state.rps * part);
-        self.writes.set_rate(self.settings.params.state.write_rps * writes);
-        self.user_writes
-            .set_rate(self.settings.params.state.write_rps * user_writes);
-        let mut held = VecDeque::new();
-        let queue = std::mem::take(&mut self.queue);
-        let (first, rest): (Vec<_>, Vec<_>) = queue.into_iter().partition(|queued| {
-            matches!(
-                queued.purpose,
-                Purpose::Grant
-                    | Purpose::Claim { .. }
-                    | Purpose::Renew { .. }
-                    | Purpose::CheckClaim
-                    | Purpose::Resign
-                    // One a second, on which acting depends.
-                    | Purpose::Sync { number: 0, .. }
-            )
-        });
-        let urgent = first.len();
-        for (position, queued) in first.into_iter().chain(rest).enumerate() {
-            let (now, writes) = (self.now, queued.request.writes());
-            let for_user = queued.is_users_write() && self.user_writes.ready(now);
-            let may_write = writes == 0 || for_user || self.writes.ready(now);
-            let ready = now >= queued.not_before && (position < urgent || self.requests.ready(now) && may_write);
-            if !ready {
-                held.push_back(queued);
-                continue;
-            }
-            self.requests.spend(1.0);
-            let from = if for_user {
-                &mut self.user_writes
-            } else {
-                &mut self.writes
-            };
-            from.spend(f64::from(writes));
-            let call = self.call();
-            self.outputs.push(Output::Store {
-                call,
-                request: queued.request.clone(),
-            });
-            self.calls.insert(call, (queued.purpose, queued.request));
-        }
-        self.queue = held;
-        let most = (self.settings.params.state.rps * STORE_QUEUE_S) as usize;
-        while self.queue.len() > most {
-            // Only users' requests come in such numbers.
-            let Some(position) = self
-                .queue
-                .iter()
-                .rposition(|queued| matches!(queued.purpose, Purpose::ReadEnd(_) | Purpose::Write(_)))
-            else {
-                break;
-            };
-            if let Some(queued) = self.queue.remove(position) {
-                self.answered(queued.purpose, &queued.request, StoreReply::Unavailable);
-            }
-        }
-    }
-
-    /// This controller's part of the request rate, the write rate, and of that
-    /// for users. What is left over is the reserve for leases and claims.
-    fn budget(&self) -> (f64, f64, f64) {
-        let nodes = self.settings.peers.len() as f64 + 1.0;
-        if self.election.phase == Phase::Follower {
-            (0.4 / nodes, 0.05 / nodes, 0.15 / nodes)
-        } else if self.queue.iter().any(Queued::is_users_write) {
-            // A wave of submissions: what is being started, ended and cleaned up
-            // can follow, while users count the milliseconds.
-            (0.45, 0.3, 0.45)
-        } else {
-            (0.45, 0.6, 0.15)
-        }
-    }
-
-    fn store_reply(&mut self, call: u64, reply: StoreReply) {
-        let Some((purpose, request)) = self.calls.remove(&call) else {
-            return;
-        };
-        match reply {
-            StoreReply::Unavailable | StoreReply::Lost => self.store_failed_at = Some(self.now),
-            StoreReply::Throttled => {
-                if !matches!(purpose, Purpose::Renew { .. }) {
-                    self.queue.push_back(Queued {
-                        purpose,
-                        request,
-                        not_before: self.now + 250,
-                    });
-                    return;
-                }
-            }
-            _ => self.store_ok_at = Some(self.now),
-        }
-        self.answered(purpose, &request, reply);
-    }
-
-    fn answered(&mut self, purpose: Purpose, request: &StoreRequest, reply: StoreReply) {
-        match purpose {
-            Purpose::Grant => self.granted(reply),
-            Purpose::Claim { transaction, sent } => self.claim_answered(transaction, sent, reply),
-            Purpose::Renew { sent } => self.renew_answered(sent, reply),
-            Purpose::CheckClaim => self.claim_checked(reply),
-            Purpose::ReadWatchCache => self.watch_cache_page(request, reply),
-            Purpose::Watch => {
-                self.watching = false;
-                let taken = self.take_log(reply);
-                self.watch_not_before = self.now + if taken { WATCH_PAUSE_MS } else { RETRY_MS };
-            }
-            Purpose::Sync { number, sent } => {
-                let ok = self.take_log(reply);
-                if ok {
-                    self.watch_cache_read(sent);
-                }
-                if number > 0 {
-                    let wants = self.with_admission(|admission, context, _| admission.synced(context, number, ok));
-                    self.carry_out(wants);
-                }
-            }
-            Purpose::Load(part) => self.load_answered(part, request, reply),
-            Purpose::Commit => self.commit_answered(request, reply),
-            Purpose::CheckCommit(evidence) => self.commit_checked(evidence, &reply),
-            Purpose::ReadEnd(op) => {
-                let wants = self.admission.end_read(op, &reply);
-                self.carry_out(wants);
-            }
-            Purpose::Write(op) => {
-                if let StoreReply::Conflict { failed } = &reply {
-                    self.check_claim_in(request, failed);
-                }
-                let wants = self.with_admission(|admission, context, _| admission.written(context, op, &reply));
-                self.carry_out(wants);
-            }
-            Purpose::Catalogue | Purpose::Resign => {}
-        }
-    }
-
-    fn watch_cache_page(&mut self, request: &StoreRequest, reply: StoreReply) {
-        let StoreReply::Page(page) = reply else {
-            self.reading = false;
-            self.watch_cache.restart();
-            self.read_not_before = self.now + RETRY_MS;
-            return;
-        };
-        let next = page.items.last().map(|entry| entry.key.clone());
-        let prefix = self.keys.watched();
-        match (self.watch_cache.take_page(&self.keys, page), next) {
-            (Some(changes), _) => {
-                self.reading = false;
-                self.watch_cache_changed(changes);
-            }
-            (None, Some(after)) => self.enqueue(Purpose::ReadWatchCache, StoreRequest::List { prefix, after }),
-            (None, None) => tracing::error!(?request, "an empty page says that there is more"),
-        }
-    }
-
-    fn take_log(&mut self, reply: StoreReply) -> bool {
-        match reply {
-            StoreReply::Log(log) if self.watch_cache.complete => {
-                let changes = self.watch_cache.take_log(&self.keys, log.revision, log.events);
-                self.watch_cache_changed(changes);
-                true
-            }
-            StoreReply::TooOld => {
-                self.watch_cache.restart();
-                false
-            }
-            _ => false,
-        }
-    }
-
-    fn watch_cache_changed(&mut self, changes: Vec<WatchedChange>) {
-        for change in changes {
-            match change {
-                WatchedChange::Leader => self.leader_changed(),
-                WatchedChange::Catalogue => {
-                    let value = self.watch_cache.catalogue.as_ref().map(|(value, _)| value.clone());
-                    match value.map(serde_json::from_value::<Catalogue>) {
-                        Some(Ok(catalogue)) => self.set_catalogue(catalogue),
-                        Some(Err(error)) => tracing::error!(%error, "the stored catalogue can't be read"),
-                        None => {}
-                    }
-                }
-                WatchedChange::Job(id) => self.job_changed(&id),
-                WatchedChange::JobGone(id) => {
-                    self.peers.counts.remove(&id);
-                    if let Some(shard) = &mut self.shard {
-                        shard.gone.push(id);
-                    }
-                }
-            }
-        }
-    }
-
-    fn set_catalogue(&mut self, catalogue: Catalogue) {
-        if let Some(shard) = &mut self.shard {
-            shard.set_catalogue(&catalogue);
-        }
-        self.catalogue = Some(catalogue);
-        self.place_wanted = true;
-    }
-
-    fn job_changed(&mut self, id: &str) {
-        if let (Some(shard), Some((key, version))) = (&mut self.shard, self.watch_cache.jobs().get(id)) {
-            shard.job_changed(self.now, id, key, *version);
-            self.place_wanted = true;
-        }
-    }
-
-    fn with_admission<T>(&mut self, act: impl FnOnce(&mut Admission, &AdmissionContext, &Peers) -> T) -> T {
-        let claim = self
-            .election
-            .acting(self.now)
-            .then(|| self.election.condition(&self.keys));
-        let (catalogue, teams) = (&self.catalogue, &self.settings.params.teams);
-        let refuse = |spec: &JobSpec| {
-            catalogue
-                .as_ref()
-                .map(|catalogue| crate::admission::check(spec, teams, catalogue))
-        };
-        let (shard, peers) = (&self.shard, &self.peers);
-        let counts = |id: &str| match shard {
-            Some(shard) => shard.counts(id),
-            None => peers.counts.get(id).copied(),
-        };
-        let context = AdmissionContext {
-            now: self.now,
-            wall: self.wall,
-            keys: &self.keys,
-            limits: &self.settings.params.limits,
-            watch_cache: &self.watch_cache,
-            claim,
-            refuse: &refuse,
-            counts: &counts,
-        };
-        act(&mut self.admission, &context, &self.peers)
-    }
-
-    fn carry_out(&mut self, wants: Vec<Want>) {
-        for want in wants {
-            match want {
-                Want::Answer(Asker::User(request), answer) => self.outputs.push(Output::Answer { request, answer }),
-                Want::Answer(Asker::Peer { node, id }, answer) => self.outputs.push(Output::Peer {
-                    node,
-                    message: Message::Forwarded { id, answer },
-                }),
-                Want::ReadEnd { op, key } => self.enqueue(Purpose::ReadEnd(op), StoreRequest::Get(key)),
-                Want::Write { op, transaction } => {
-                    self.enqueue(Purpose::Write(op), StoreRequest::Transact(transaction));
-                }
-                Want::Forward { op, node, ask } => {
-                    self.next_forward += 1;
-                    let id = self.next_forward;
-                    self.forwards.insert(id, op);
-                    self.outputs.push(Output::Peer {
-                        node,
-                        message: Message::Forward {
-                            shard: SHARD.into(),
-                            id,
-                            ask,
-                        },
-                    });
-                }
-                Want::Learned { id, key, revision } => {
-                    // The watch may have been faster, even to the job's end.
-                    if revision > self.watch_cache.revision {
-                        self.watch_cache.learn(&id, key, revision);
-                        self.job_changed(&id);
-                    }
-                }
-            }
-        }
-    }
-
-    fn user(&mut self, request: u64, ask: Ask) {
-        let forward = self.forward_to(&ask);
-        let asker = Asker::User(request);
-        let wants = self.with_admission(|admission, context, _| admission.ask(context, asker, ask, forward));
-        self.carry_out(wants);
-    }
-
-    /// Who should answer: the leader takes submissions and cancels; any other
-    /// controller only when this one can't use the state service.
-    fn forward_to(&self, ask: &Ask) -> Option<String> {
-        if self.leads() {
-            return None;
-        }
-        let leader = self.peers.leader(self.now);
-        let to = match ask {
-            Ask::Submit(_) | Ask::Cancel(_) if leader.is_some() => leader,
-            _ if self.store_ok() => None,
-            _ => leader.or(self.peers.with_store(self.now)),
-        };
-        to.map(str::to_owned)
-    }
-
-    /// Not healthy if another controller could do what this one can't, or if
-    /// it hears too few of them to tell: users of a controller that is cut off
-    /// would ask in vain. In an outage that all share, users are better
-    /// answered than refused.
-    fn health(&mut self, request: u64) {
-        let shared_outage = self.peers.most_in_reach(self.now) && self.peers.with_store(self.now).is_none();
-        let well = self.store_ok() || (self.watch_cache.complete && shared_outage);
-        let answer = if well {
-            crate::admission::text(200, "")
-        } else {
-            crate::admission::busy("the state service can't be reached")
-        };
-        self.outputs.push(Output::Answer { request, answer });
-    }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/controller/requests.rs
@@ -0,0 +1,111 @@
+//! Users' requests and health checks: admitted here, or forwarded to the leader.
+
+use super::{Controller, Output, Purpose, SHARD};
+use crate::admission::{Admission, AdmissionContext, Asker, Want};
+use crate::peers::{Ask, Message, Peers};
+use crate::store::StoreRequest;
+use crate::wire::JobSpec;
+
+impl Controller {
+    pub(super) fn with_admission<T>(&mut self, act: impl FnOnce(&mut Admission, &AdmissionContext, &Peers) -> T) -> T {
+        let claim = self
+            .election
+            .acting(self.now)
+            .then(|| self.election.condition(&self.keys));
+        let (catalogue, teams) = (&self.catalogue, &self.settings.params.teams);
+        let refuse = |spec: &JobSpec| {
+            catalogue
+                .as_ref()
+                .map(|catalogue| crate::admission::check(spec, teams, catalogue))
+        };
+        let (shard, peers) = (&self.shard, &self.peers);
+        let counts = |id: &str| match shard {
+            Some(shard) => shard.counts(id),
+            None => peers.counts.get(id).copied(),
+        };
+        let context = AdmissionContext {
+            now: self.now,
+            wall: self.wall,
+            keys: &self.keys,
+            limits: &self.settings.params.limits,
+            watch_cache: &self.watch_cache,
+            claim,
+            refuse: &refuse,
+            counts: &counts,
+        };
+        act(&mut self.admission, &context, &self.peers)
+    }
+
+    pub(super) fn carry_out(&mut self, wants: Vec<Want>) {
+        for want in wants {
+            match want {
+                Want::Answer(Asker::User(request), answer) => self.outputs.push(Output::Answer { request, answer }),
+                Want::Answer(Asker::Peer { node, id }, answer) => self.outputs.push(Output::Peer {
+                    node,
+                    message: Message::Forwarded { id, answer },
+                }),
+                Want::ReadEnd { op, key } => self.enqueue(Purpose::ReadEnd(op), StoreRequest::Get(key)),
+                Want::Write { op, transaction } => {
+                    self.enqueue(Purpose::Write(op), StoreRequest::Transact(transaction));
+                }
+                Want::Forward { op, node, ask } => {
+                    self.next_forward += 1;
+                    let id = self.next_forward;
+                    self.forwards.insert(id, op);
+                    self.outputs.push(Output::Peer {
+                        node,
+                        message: Message::Forward {
+                            shard: SHARD.into(),
+                            id,
+                            ask,
+                        },
+                    });
+                }
+                Want::Learned { id, key, revision } => {
+                    // The watch may have been faster, even to the job's end.
+                    if revision > self.watch_cache.revision {
+                        self.watch_cache.learn(&id, key, revision);
+                        self.job_changed(&id);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn user(&mut self, request: u64, ask: Ask) {
+        let forward = self.forward_to(&ask);
+        let asker = Asker::User(request);
+        let wants = self.with_admission(|admission, context, _| admission.ask(context, asker, ask, forward));
+        self.carry_out(wants);
+    }
+
+    /// Who should answer: the leader takes submissions and cancels; any other
+    /// controller only when this one can't use the state service.
+    pub(super) fn forward_to(&self, ask: &Ask) -> Option<String> {
+        if self.leads() {
+            return None;
+        }
+        let leader = self.peers.leader(self.now);
+        let to = match ask {
+            Ask::Submit(_) | Ask::Cancel(_) if leader.is_some() => leader,
+            _ if self.store_ok() => None,
+            _ => leader.or(self.peers.with_store(self.now)),
+        };
+        to.map(str::to_owned)
+    }
+
+    /// Not healthy if another controller could do what this one can't, or if
+    /// it hears too few of them to tell: users of a controller that is cut off
+    /// would ask in vain. In an outage that all share, users are better
+    /// answered than refused.
+    pub(super) fn health(&mut self, request: u64) {
+        let shared_outage = self.peers.most_in_reach(self.now) && self.peers.with_store(self.now).is_none();
+        let well = self.store_ok() || (self.watch_cache.complete && shared_outage);
+        let answer = if well {
+            crate::admission::text(200, "")
+        } else {
+            crate::admission::busy("the state service can't be reached")
+        };
+        self.outputs.push(Output::Answer { request, answer });
+    }
+}
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
+use crate::election::Phase;
 use crate::settings::tests::SAMPLE;
+use crate::wire::JobSpec;
 
 /// Numbers of what a life of a controller asks peers first.
 fn asked(life: u64) -> (u64, u64) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -39,6 +39,11 @@
 /// Events waiting beside one report for each connection.
 const SPARE_EVENTS: usize = 1_024;
 
+/// Below these a controller can't serve a fleet of any size: the program with its
+/// first messages takes some 10 MB (docs/operations.md).
+const LEAST_MEMORY_MB: f64 = 24.0;
+const LEAST_CONNECTIONS: u32 = 64;
+
 /// How many connections may be open for each purpose.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Connections {
@@ -248,8 +253,13 @@
         if params.state.txn_ops < 8 {
             return invalid("params.state.txn_ops", "must be at least 8");
         }
-        if params.limits.max_connections < 64 {
-            return invalid("params.quota.max_connections", "must be at least 64");
+        if params.limits.max_connections < LEAST_CONNECTIONS {
+            let reason = format!("must be at least {LEAST_CONNECTIONS}");
+            return invalid("params.quota.max_connections", &reason);
+        }
+        if params.limits.memory_mb < LEAST_MEMORY_MB {
+            let reason = format!("must be at least {LEAST_MEMORY_MB}");
+            return invalid("params.quota.memory_mb", &reason);
         }
         if params.zones.is_empty() {
             return invalid("params.zones", "must name at least one zone");
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -46,6 +46,12 @@
     let bad = SAMPLE.replace("lease_s = 45.0", "lease_s = -1.0");
     let error = Settings::parse(&bad).expect_err("negative").to_string();
     assert!(error.contains("params.workers.lease_s"), "{error}");
+    let small = SAMPLE.replace("memory_mb = 136.0", "memory_mb = 8.0");
+    let error = Settings::parse(&small).expect_err("too little").to_string();
+    assert!(
+        error.contains("params.quota.memory_mb") && error.contains("24"),
+        "{error}"
+    );
     let missing = SAMPLE.replace("rps = 4.0\n", "");
     let error = Settings::parse(&missing).expect_err("missing").to_string();
     assert!(error.contains("rps"), "{error}");
