Bound submissions in hand by memory; test the client's kept connections

Up to 912 bodies of 64 KiB could wait: 57 MB of 85. They have a twenty-fifth of the memory now, and one that is longer than allowed is refused by its length before it is read.

--- a/src/runtime/client.rs
+++ b/src/runtime/client.rs
@@ -170,3 +170,6 @@
     });
     Ok(sender)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/runtime/client/tests.rs
@@ -0,0 +1,40 @@
+use super::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Answers every request on every connection with 200 and keeps it open.
+async fn serve_empty_answers() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = [0; 1_024];
+                while stream.read(&mut request).await.is_ok_and(|length| length > 0) {
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                    stream.write_all(answer).await.expect("sent");
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against more sockets kept idle than the settings leave for them, with as
+/// many workers as there may be.
+#[tokio::test(flavor = "current_thread")]
+async fn no_more_connections_are_kept_than_allowed() {
+    let client = Client::new(2);
+    for _ in 0..4 {
+        let address = serve_empty_answers().await;
+        for _ in 0..2 {
+            let patience = Duration::from_secs(20);
+            let answer = client.request(address, Method::GET, "/", Vec::new(), patience).await;
+            assert_eq!(answer.map(|(status, _)| status), Ok(200));
+        }
+        let idle = client.idle.lock().expect("not poisoned");
+        let kept: usize = idle.by_address.values().map(Vec::len).sum();
+        assert_eq!(idle.count, kept);
+        assert!((1..=2).contains(&kept), "{kept} kept");
+    }
+}
--- a/src/runtime/front.rs
+++ b/src/runtime/front.rs
@@ -4,7 +4,7 @@
 use crate::admission::{busy, text};
 use crate::peers::{Answer, Ask};
 use poem::http::{Method, StatusCode};
-use poem::{Body, Endpoint, Request, Response};
+use poem::{Endpoint, Request, Response};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc, oneshot};
@@ -28,6 +28,8 @@
     users: mpsc::Sender<Event>,
     most: usize,
     room: Arc<Semaphore>,
+    /// One permit for each KiB of submissions that may be in hand.
+    bodies_kib: Semaphore,
 }
 
 impl Endpoint for Front {
@@ -39,17 +41,14 @@
         let answer = match (method, path.as_str()) {
             (Method::GET, "/healthz") => self.send(&self.urgent, |reply| Event::Health { reply }).await,
             (Method::POST, "/checkin") => {
-                let body = read(request.take_body(), MAX_REPORT).await;
+                let body = read(&mut request, MAX_REPORT).await;
                 match body.and_then(|body| serde_json::from_slice(&body).ok()) {
                     Some(report) => self.send(&self.urgent, |reply| Event::Report { report, reply }).await,
                     None => text(400, "not a report"),
                 }
             }
-            (Method::POST, "/v1/jobs") => match read(request.take_body(), MAX_BODY).await {
-                Some(body) => match String::from_utf8(body) {
-                    Ok(body) => self.ask(Ask::Submit(body)).await,
-                    Err(_) => text(400, "not UTF-8"),
-                },
+            (Method::POST, "/v1/jobs") => match read(&mut request, MAX_BODY).await {
+                Some(body) => self.submit(body).await,
                 None => text(400, "the body is too long or broken"),
             },
             (method, path) => match (method, job_path(path)) {
@@ -73,9 +72,14 @@
     }
 }
 
-/// The whole body, unless it is longer than `most`, broken or too slow.
-async fn read(body: Body, most: usize) -> Option<Vec<u8>> {
-    let bytes = timeout(BODY_PATIENCE, body.into_bytes_limit(most)).await;
+/// The whole body, unless it is longer than `most`, broken or too slow. One that says
+/// beforehand that it is too long is not read at all.
+async fn read(request: &mut Request, most: usize) -> Option<Vec<u8>> {
+    let length = request.header("Content-Length").map(str::parse::<usize>);
+    if length.is_some_and(|length| length.map_or(true, |length| length > most)) {
+        return None;
+    }
+    let bytes = timeout(BODY_PATIENCE, request.take_body().into_bytes_limit(most)).await;
     Some(bytes.ok()?.ok()?.into())
 }
 
@@ -89,8 +93,8 @@
 }
 
 impl Front {
-    /// `most`: connections served at once.
-    pub fn new(urgent: mpsc::Sender<Event>, users: mpsc::Sender<Event>, most: u32) -> Front {
+    /// `most`: connections served at once. `bodies_kib`: submissions in hand.
+    pub fn new(urgent: mpsc::Sender<Event>, users: mpsc::Sender<Event>, most: u32, bodies_kib: usize) -> Front {
         let most = most as usize;
         let room = Arc::new(Semaphore::new(most));
         Front {
@@ -98,6 +102,7 @@
             users,
             most,
             room,
+            bodies_kib: Semaphore::new(bodies_kib),
         }
     }
 
@@ -106,6 +111,17 @@
         self.room.clone()
     }
 
+    async fn submit(&self, body: Vec<u8>) -> Answer {
+        let kib = body.len().div_ceil(1_024).max(1) as u32;
+        let Ok(_in_hand) = self.bodies_kib.try_acquire_many(kib) else {
+            return busy("too many requests at once");
+        };
+        match String::from_utf8(body) {
+            Ok(body) => self.ask(Ask::Submit(body)).await,
+            Err(_) => text(400, "not UTF-8"),
+        }
+    }
+
     async fn ask(&self, ask: Ask) -> Answer {
         self.send(&self.users, |reply| Event::Ask { ask, reply }).await
     }
--- a/src/runtime/http_server/tests.rs
+++ b/src/runtime/http_server/tests.rs
@@ -13,9 +13,9 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("bound");
     let (urgent, mut events) = mpsc::channel(16);
-    let (users, _) = mpsc::channel(16);
+    let (users, mut asked) = mpsc::channel(16);
     let pace = Arc::new(Pace::new());
-    tokio::spawn(serve(listener, Front::new(urgent, users, most), pace.clone()));
+    tokio::spawn(serve(listener, Front::new(urgent, users, most, 64), pace.clone()));
     tokio::spawn(async move {
         while let Some(event) = events.recv().await {
             if let Event::Health { reply } = event {
@@ -23,6 +23,13 @@
             }
         }
     });
+    // Users wait for good, so that what they sent stays in hand.
+    tokio::spawn(async move {
+        let mut waiting = Vec::new();
+        while let Some(event) = asked.recv().await {
+            waiting.push(event);
+        }
+    });
     if ticks {
         tokio::spawn(keep_up(pace.clone()));
     }
@@ -91,3 +98,31 @@
     let closed = timeout(2 * IDLE, client.read_to_end(&mut rest)).await;
     assert!(closed.is_ok(), "still open after {:?}", 2 * IDLE);
 }
+
+async fn submit(address: SocketAddr, body: &str, length: usize) -> TcpStream {
+    let mut client = TcpStream::connect(address).await.expect("connected");
+    let head = format!("POST /v1/jobs HTTP/1.1\r\nHost: here\r\nContent-Length: {length}\r\n\r\n{body}");
+    client.write_all(head.as_bytes()).await.expect("sent");
+    client
+}
+
+async fn status(client: &mut TcpStream) -> String {
+    let mut answer = [0; 12];
+    let read = timeout(PATIENCE, client.read_exact(&mut answer)).await;
+    read.expect("in time").expect("answered");
+    String::from_utf8_lossy(&answer[9..]).into_owned()
+}
+
+/// Guards against memory filled by submissions that wait: beyond their part of it they
+/// are refused at once, and one that is too long is not even read.
+#[tokio::test(flavor = "current_thread")]
+async fn submissions_beyond_their_memory_are_refused_at_once() {
+    let (address, _) = serve_health(8, true).await;
+    let mut unread = submit(address, "{", 10_000_000).await;
+    assert_eq!(status(&mut unread).await, "400");
+    let large = " ".repeat(60 * 1_024);
+    let _in_hand = submit(address, &large, large.len()).await;
+    sleep(Duration::from_millis(200)).await;
+    let mut refused = submit(address, &large, large.len()).await;
+    assert_eq!(status(&mut refused).await, "503");
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -83,7 +83,7 @@
     let (urgent, urgent_events) = mpsc::channel(settings.event_queue());
     let (users, user_events) = mpsc::channel(USER_QUEUE);
     let (store, store_events) = mpsc::channel(settings.event_queue());
-    let front = front::Front::new(urgent.clone(), users, connections.served);
+    let front = front::Front::new(urgent.clone(), users, connections.served, settings.bodies_kib());
     let listener = listen(settings.listen, connections.backlog)?;
     let pace = Arc::new(Pace::new());
     tokio::spawn(http_server::serve(listener, front, pace.clone()));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -36,6 +36,9 @@
 const IN_FLIGHT_PART: f64 = 0.12;
 /// Connections to the state service, the cloud and the other controllers.
 const FIXED_CONNECTIONS: u32 = 40;
+/// Part of the memory for submissions in hand, each of which is held up to three times:
+/// as it came, as it was read, and as it is written or forwarded.
+const BODIES_MEMORY_PART: f64 = 0.04;
 /// Events waiting beside one report for each connection.
 const SPARE_EVENTS: usize = 1_024;
 
@@ -194,6 +197,11 @@
         }
     }
 
+    /// KiB of submissions that may be in hand at once.
+    pub fn bodies_kib(&self) -> usize {
+        (self.params.limits.memory_mb * 1e6 * BODIES_MEMORY_PART / 1024.0) as usize
+    }
+
     /// Events that may wait for the controller: each connection has one report in
     /// flight, and all workers report at once after an outage.
     pub fn event_queue(&self) -> usize {
