--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -20,40 +20,7 @@
 /// The allocator counts for the whole process, so tests take turns.
 static TURN: Mutex<()> = Mutex::new(());
 
-const SETTINGS: &str = r#"
-node = "n0"
-location = "north"
-serve_on = "127.0.0.1:1"
-peer_listen = "127.0.0.1:2"
-[external]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[params]
-zones = ["north", "south"]
-time_bound_ms = 25.0
-[[params.teams]]
-name = "red"
-cpus = 8.0
-cpus_max = 0.0
-gpus = 0.0
-gpus_max = 0.0
-[params.workers]
-report_s = 3.0
-lease_s = 20.0
-cancel_s = 40.0
-[params.state]
-rps = 200.0
-write_rps = 80.0
-value_kb = 16.0
-txn_ops = 48
-[params.cloud]
-rps = 5.0
-list_lag_s = 6.0
-[params.quota]
-cores = 0.1
-memory_mb = 85.0
-max_connections = 2000
-"#;
+const SETTINGS: &str = include_str!("../benches/site/settings.toml");
 
 /// Enough of each kind for the growth of tables to even out.
 const MACHINES: usize = 4_096;
