Don't let a job of a zone wait for a full machine elsewhere

The note of images whose holders are all full, added with the cheap look for waiting jobs, was asked by jobs bound to zones too, though it says nothing of the holders in some zones only. Such a job could wait up to locality_wait_s beside room that the plain choice takes at once. The test fails on the code before. Found by reading the change again.

--- a/src/placement/machine_view.rs
+++ b/src/placement/machine_view.rs
@@ -179,7 +179,9 @@
     /// Where there is room for one of the job's tasks.
     pub fn room_for(&mut self, shard: &Shard, job: &Job, zones: &Option<Vec<Ix>>) -> RoomFor {
         self.note_holders(shard, job.image);
-        if self.holders_are_full(job) {
+        // What is noted of all holders says nothing of those in some zones only.
+        let is_particular = zones.is_some() || !job.failed_on.is_empty();
+        if !is_particular && self.holders_are_full(job) {
             let mut open = self.open_to(job, zones);
             let found = open.find(|(_, slot, _)| slot.has_room(job.shape.room));
             return found.map_or(RoomFor::Nowhere, |(place, ..)| RoomFor::BesideFullHolder { place });
@@ -192,7 +194,7 @@
                 (false, holds) => holder_full |= holds,
             }
         }
-        if holder_full && zones.is_none() && job.failed_on.is_empty() {
+        if holder_full && !is_particular {
             let shapes = self.full_holders.entry(job.image).or_default();
             shapes.push(job.shape.clone());
         }
@@ -208,7 +210,7 @@
     fn holders_are_full(&self, job: &Job) -> bool {
         let full = self.full_holders.get(&job.image);
         let needs_as_much = |shape: &Shape| shape.allows_the_same(&job.shape) && job.shape.room.fits(shape.room);
-        job.failed_on.is_empty() && full.is_some_and(|shapes| shapes.iter().any(needs_as_much))
+        full.is_some_and(|shapes| shapes.iter().any(needs_as_much))
     }
 
     /// Ranks the slots that the job may use and that have room for one of its tasks.
@@ -241,7 +243,7 @@
         let holds = |place: usize| self.holders.get(&image).is_some_and(|holders| holders[place]);
         loop {
             let Reverse(place) = ranking.slots.peek()?.place;
-            if self.slots[place].free.fits(ranking.room) {
+            if self.slots[place].has_room(ranking.room) {
                 return Some(Best {
                     place,
                     holds: holds(place),
--- a/src/placement/machine_view/tests.rs
+++ b/src/placement/machine_view/tests.rs
@@ -46,6 +46,23 @@
     })
 }
 
+/// Guards against a job bound to a zone that waits there for a full machine of
+/// another, because jobs bound to none found that all holders are full.
+#[test]
+fn full_holders_elsewhere_keep_no_job_of_a_zone_waiting() {
+    let (mut shard, job_ix) = shard(&[(false, true, 8.0, Some(0))]);
+    let empty = shard.add_machine(0, "host-south", "small", "south", true);
+    let machine = shard.machines.get_mut(empty).expect("there");
+    machine.written = true;
+    machine.heard_at = Some(0);
+    let south = machine.zone;
+    let job = shard.jobs.get(job_ix).expect("there");
+    let mut view = MachineView::new(&shard, 0);
+    let anywhere = view.room_for(&shard, job, &None);
+    assert_eq!(anywhere, RoomFor::BesideFullHolder { place: 1 });
+    assert_eq!(view.room_for(&shard, job, &Some(vec![south])), RoomFor::Elsewhere);
+}
+
 proptest! {
     /// One ranking serves all tasks that are placed one after the other.
     #[test]
