Queue a request for later, and say when a job is bound to zones, in one place

Four places pushed a queued request with its pause by hand, two asked for one_zone and spread. An idle connection's last request needs no type of its own. No change of behaviour.

--- a/src/controller/claim.rs
+++ b/src/controller/claim.rs
@@ -1,5 +1,6 @@
 //! The leader's claim: taken, renewed, raised to a new term, checked and given up.
 
+use super::store_calls::RETRY_MS;
 use super::{Controller, Loading, Purpose, Shard};
 use crate::Millis;
 use crate::controller::SHARD;
@@ -62,14 +63,11 @@
             // Perhaps applied: the same again is applied or conflicts, and a
             // conflict is told apart by reading the claim.
             StoreReply::Lost | StoreReply::Unavailable if self.now < sent + crate::election::LEASE_MS => {
-                self.queue.push_back(super::Queued {
-                    purpose: Purpose::Claim {
-                        transaction: transaction.clone(),
-                        sent,
-                    },
-                    request: StoreRequest::Transact(transaction),
-                    not_before: self.now + 200,
-                });
+                let purpose = Purpose::Claim {
+                    transaction: transaction.clone(),
+                    sent,
+                };
+                self.enqueue_after(RETRY_MS, purpose, StoreRequest::Transact(transaction));
             }
             StoreReply::Conflict { .. } => self.enqueue(Purpose::CheckClaim, StoreRequest::Get(self.keys.leader())),
             _ => self.follow(500),
--- a/src/controller/commits.rs
+++ b/src/controller/commits.rs
@@ -4,7 +4,8 @@
 //! conflicts, the first may have been carried out: a look at one key that it writes
 //! tells, so that not everything has to be read again.
 
-use super::{Controller, Purpose, Queued};
+use super::store_calls::RETRY_MS;
+use super::{Controller, Purpose};
 use crate::Millis;
 use crate::store::{StoreReply, StoreRequest};
 use crate::wire::{Change, Transaction};
@@ -12,7 +13,6 @@
 
 /// How often what nobody waits for is written.
 const COMMIT_ANYWAY_MS: Millis = 150;
-const RETRY_MS: Millis = 200;
 
 /// A key by which a transaction that was carried out can be told.
 #[derive(Clone, Debug, PartialEq)]
@@ -199,14 +199,6 @@
         self.reclaim_wanted = true;
         self.reclaimed_at = 0;
     }
-
-    fn enqueue_after(&mut self, pause: Millis, purpose: Purpose, request: StoreRequest) {
-        self.queue.push_back(Queued {
-            purpose,
-            request,
-            not_before: self.now + pause,
-        });
-    }
 }
 
 #[cfg(test)]
--- a/src/controller/store_calls.rs
+++ b/src/controller/store_calls.rs
@@ -2,6 +2,7 @@
 //! handed to what asked.
 
 use super::{Controller, Output, Purpose, Queued};
+use crate::Millis;
 use crate::election::Phase;
 use crate::store::{StoreReply, StoreRequest};
 use std::collections::VecDeque;
@@ -9,14 +10,22 @@
 /// Requests to the state service that wait are those of this long at its rate: users
 /// give up before any more would be sent.
 const STORE_QUEUE_S: f64 = 3.0;
+/// Pause before a request without an answer is sent again.
+pub(super) const RETRY_MS: Millis = 200;
+/// Pause before a request beyond the service's rate is sent again.
+const THROTTLED_MS: Millis = 250;
 
 impl Controller {
     pub(super) fn enqueue(&mut self, purpose: Purpose, request: StoreRequest) {
-        let not_before = self.now;
+        self.enqueue_after(0, purpose, request);
+    }
+
+    /// Sends a request no sooner than after a pause.
+    pub(super) fn enqueue_after(&mut self, pause: Millis, purpose: Purpose, request: StoreRequest) {
         self.queue.push_back(Queued {
             purpose,
             request,
-            not_before,
+            not_before: self.now + pause,
         });
     }
 
@@ -106,11 +115,7 @@
             StoreReply::Unavailable | StoreReply::Lost => self.store_failed_at = Some(self.now),
             StoreReply::Throttled => {
                 if !matches!(purpose, Purpose::Renew { .. }) {
-                    self.queue.push_back(Queued {
-                        purpose,
-                        request,
-                        not_before: self.now + 250,
-                    });
+                    self.enqueue_after(THROTTLED_MS, purpose, request);
                     return;
                 }
             }
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -1,6 +1,7 @@
 //! What a new leader reads before it acts: machines, rentals, jobs and firings, one
 //! page after the other, so that heartbeats and renewals come in between.
 
+use super::store_calls::RETRY_MS;
 use super::{Controller, Loading, Purpose};
 use crate::Millis;
 use crate::election::Phase;
@@ -37,11 +38,7 @@
                 Loading::WatchCache => self.watch(0),
                 _ => request.clone(),
             };
-            self.queue.push_back(super::Queued {
-                purpose: Purpose::Load(part),
-                request,
-                not_before: self.now + 200,
-            });
+            self.enqueue_after(RETRY_MS, Purpose::Load(part), request);
             return;
         };
         let Some(shard) = &mut self.shard else {
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -101,6 +101,11 @@
         self.spec.priority
     }
 
+    /// Whether the zones open to it depend on where its tasks are.
+    pub fn is_bound_to_zones(&self) -> bool {
+        self.spec.one_zone || self.spec.spread
+    }
+
     pub fn complete(&self) -> bool {
         self.done.len() == self.spec.tasks
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -162,6 +162,7 @@
                 return;
             };
             let (room, team, image) = (job.shape.room, job.team as usize, job.image);
+            let is_bound_to_zones = job.is_bound_to_zones();
             let pressing = starving || job.old(self.wall);
             if round.held_teams[team] || !self.teams_use[team].may_add(room) {
                 // Small tasks would for ever use up what the team's limit
@@ -182,7 +183,7 @@
                     round.view.note_image(place, image);
                     let machine = round.view.take(place, room);
                     self.open_attempt(ix, task, machine);
-                    if skipped || self.is_bound_to_zones(ix) {
+                    if skipped || is_bound_to_zones {
                         ranking = None;
                         skipped = false;
                     }
@@ -213,13 +214,6 @@
         }
     }
 
-    /// Whether the zones open to a job depend on where its tasks are.
-    fn is_bound_to_zones(&self, ix: Ix) -> bool {
-        self.jobs
-            .get(ix)
-            .is_some_and(|job| job.spec.one_zone || job.spec.spread)
-    }
-
     /// Whether a machine still lists an earlier attempt of this task.
     fn lists_earlier(&self, machine: Ix, job: Ix, task: u32) -> bool {
         let (Some(machine), Some(job)) = (self.machines.get(machine), self.jobs.get(job)) else {
@@ -321,7 +315,7 @@
         let Some(best) = view.best(ranking, job.image) else {
             // Other jobs of this shape need not look, unless it was only this
             // one that could not use what there is.
-            if !self.is_bound_to_zones(ix) && job.failed_on.is_empty() && !skipped {
+            if !job.is_bound_to_zones() && job.failed_on.is_empty() && !skipped {
                 view.note_full(&job.shape);
             }
             return Choice::NoRoom;
@@ -351,7 +345,7 @@
     /// For a job bound to one zone, or spread over zones: the zones in which
     /// one more of its tasks may run now. `None`: any.
     fn zones_open_to(&self, job: &Job) -> Option<Vec<Ix>> {
-        if !job.spec.one_zone && !job.spec.spread {
+        if !job.is_bound_to_zones() {
             return None;
         }
         let mut counts = vec![0u32; self.zones.len()];
--- a/src/runtime/http_server.rs
+++ b/src/runtime/http_server.rs
@@ -60,24 +60,19 @@
     }
 }
 
-/// When a connection last carried a request, in milliseconds since it began.
-#[derive(Default)]
-struct LastRequest {
-    at_ms: AtomicU64,
-}
-
 async fn serve_connection(
     stream: TcpStream,
     local: SocketAddr,
     remote: SocketAddr,
     front: Arc<Front>,
-    permit: OwnedSemaphorePermit,
+    _permit: OwnedSemaphorePermit,
 ) {
     let began = Instant::now();
-    let last_request = LastRequest::default();
+    // In milliseconds since then.
+    let last_request_ms = AtomicU64::new(0);
     let service = service_fn(|request: hyper::Request<hyper::body::Incoming>| {
         let now_ms = began.elapsed().as_millis() as u64;
-        last_request.at_ms.store(now_ms, Ordering::Relaxed);
+        last_request_ms.store(now_ms, Ordering::Relaxed);
         let (local, remote) = (LocalAddr(local.into()), RemoteAddr(remote.into()));
         let request = Request::from((request, local, remote, Scheme::HTTP));
         let front = &front;
@@ -93,7 +88,7 @@
             biased;
             _ = connection.as_mut() => break,
             () = sleep_until(idle_at) => {
-                let last = Duration::from_millis(last_request.at_ms.load(Ordering::Relaxed));
+                let last = Duration::from_millis(last_request_ms.load(Ordering::Relaxed));
                 idle_at = began + last + IDLE;
                 if Instant::now() >= idle_at {
                     break;
@@ -101,7 +96,6 @@
             }
         }
     }
-    drop(permit);
 }
 
 #[cfg(test)]
