--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -1,4 +1,4 @@
-//! The owner's calls to the cloud: catalogue, hires, deletions, lists.
+//! The leader's calls to the cloud: catalogue, hires, deletions, lists.
 
 use super::{CloudReply, CloudRequest, Controller, Output, Purpose};
 use crate::Millis;
@@ -127,11 +127,11 @@
             (Call::Catalogue, CloudReply::Catalogue(catalogue)) => {
                 let value = json!(catalogue);
                 let stored = self.watch_cache.catalogue.as_ref();
-                if stored.is_none_or(|(stored, _)| *stored != value) && self.ownership.acting(now) {
+                if stored.is_none_or(|(stored, _)| *stored != value) && self.election.acting(now) {
                     // Kept, so that a restart while the cloud is out of reach
                     // can still decide on submissions.
                     let transaction = Transaction {
-                        conditions: vec![self.ownership.condition(&self.keys)],
+                        conditions: vec![self.election.condition(&self.keys)],
                         changes: vec![Change::put(self.keys.catalogue(), value)],
                     };
                     self.enqueue(Purpose::Catalogue, StoreRequest::Transact(transaction.into()));
--- a/src/controller/commits.rs
+++ b/src/controller/commits.rs
@@ -81,7 +81,7 @@
             return;
         }
         self.committed_at = self.now;
-        let claim = self.ownership.condition(&self.keys);
+        let claim = self.election.condition(&self.keys);
         let max_ops = self.settings.params.state.txn_ops as usize;
         let spare = (self.writes.level(self.now) as usize).max(1);
         let Some(share) = &mut self.share else {
--- a/src/controller/commits/tests.rs
+++ b/src/controller/commits/tests.rs
@@ -21,7 +21,7 @@
     share.place(START);
     controller.now = START;
     controller.share = Some(share);
-    controller.ownership.phase = Phase::Active;
+    controller.election.phase = Phase::Active;
     controller.commit();
     controller.send_queued();
     let first = sent(&std::mem::take(&mut controller.outputs), true);
--- a/src/controller/follower.rs
+++ b/src/controller/follower.rs
@@ -1,5 +1,5 @@
 //! What every controller does beside leading: answering peers, relaying the
-//! reports of workers to the owner, and handing its commands to them.
+//! reports of workers to the leader, and handing its commands to them.
 
 use super::{Controller, Output, SHARE};
 use crate::Millis;
@@ -23,7 +23,7 @@
 /// Reports or replies in one message, so that frames stay small.
 const BATCH: usize = 64;
 
-/// A worker that the owner sent on to another controller.
+/// A worker that the leader sent on to another controller.
 #[derive(Clone, Copy, Debug)]
 pub struct RedirectedWorker {
     sent_on_at: Millis,
@@ -39,12 +39,12 @@
 
 impl Controller {
     pub(super) fn report(&mut self, request: u64, report: Report) {
-        if self.ownership.holds_claim() {
+        if self.election.holds_claim() {
             let reply = self.own_report(&report);
             self.answer_worker(request, reply);
             return;
         }
-        if self.peers.owner(self.now).is_none() || self.relays.len() >= self.connections.served as usize {
+        if self.peers.leader(self.now).is_none() || self.relays.len() >= self.connections.served as usize {
             self.answer_worker(request, ReportReply::Elsewhere(None));
             return;
         }
@@ -54,10 +54,10 @@
         self.relay_out.push((id, report));
     }
 
-    /// A report that came to the owner itself. Its processor is the scarcest, so
+    /// A report that came to the leader itself. Its processor is the scarcest, so
     /// it sends workers on to the others, which relay their reports.
     fn own_report(&mut self, report: &Report) -> ReportReply {
-        if self.owns_share()
+        if self.leads()
             && let Some(node) = self.next_peer()
             && self.sends_on(&report.machine)
         {
@@ -104,7 +104,7 @@
         }
     }
 
-    /// A worker's answer to direct commands, our own or those held for an owner.
+    /// A worker's answer to direct commands, our own or those held for a leader.
     pub(super) fn worker_answered(&mut self, call: u64, reply: WorkerReply) {
         match self.held.remove(&call) {
             Some((node, id)) => self.pushed_out.entry(node).or_default().push((id, reply)),
@@ -130,16 +130,16 @@
     }
 
     /// Sends on what has come together since the last tick: one frame costs the
-    /// owner far less than many.
+    /// leader far less than many.
     fn flush(&mut self) {
         let mut reports = std::mem::take(&mut self.relay_out);
         if !reports.is_empty() {
-            match self.peers.owner(self.now).map(str::to_owned) {
-                Some(owner) => {
+            match self.peers.leader(self.now).map(str::to_owned) {
+                Some(leader) => {
                     while !reports.is_empty() {
                         let rest = reports.split_off(reports.len().min(BATCH));
                         self.outputs.push(Output::Peer {
-                            node: owner.clone(),
+                            node: leader.clone(),
                             message: Message::Relay {
                                 share: SHARE.into(),
                                 reports: std::mem::replace(&mut reports, rest),
@@ -173,12 +173,12 @@
         match message {
             Message::Heartbeat {
                 share,
-                owns_term,
+                leads_term,
                 store_ok,
                 ..
             } => {
-                let owns_term = owns_term.filter(|_| share == SHARE);
-                self.peers.heartbeat(self.now, &node, owns_term, store_ok);
+                let leads_term = leads_term.filter(|_| share == SHARE);
+                self.peers.heartbeat(self.now, &node, leads_term, store_ok);
             }
             Message::Forward { share, id, ask } => {
                 let asker = Asker::Peer { node: node.clone(), id };
@@ -225,7 +225,7 @@
                 term, asked, revision, ..
             } => self.asked_to_hold(node, term, asked, revision),
             Message::Held { term, asked, cancelled } => {
-                if term == self.ownership.term {
+                if term == self.election.term {
                     self.held(&node, asked, cancelled);
                 }
             }
@@ -244,7 +244,7 @@
         }
     }
 
-    /// The owner can't reach the state service. If nor can we, and we know what
+    /// The leader can't reach the state service. If nor can we, and we know what
     /// was cancelled, we promise not to claim, and tell it of what it may not know.
     fn asked_to_hold(&mut self, node: String, term: u64, asked: u64, revision: u64) {
         let out = self.store_failed_at > self.store_ok_at;
@@ -254,7 +254,7 @@
         let newer = self.watch_cache.jobs().values();
         let newer = newer.filter(|(key, version)| *version > revision && key.ended == Some(Standing::Cancelled));
         let cancelled: Vec<_> = newer.take(MAX_CANCELLED + 1).cloned().collect();
-        if cancelled.len() <= MAX_CANCELLED && self.ownership.promise(self.now) {
+        if cancelled.len() <= MAX_CANCELLED && self.election.promise(self.now) {
             let message = Message::Held { term, asked, cancelled };
             self.outputs.push(Output::Peer { node, message });
         }
@@ -262,7 +262,7 @@
 
     /// What was cancelled through others is stopped before their promise counts.
     fn held(&mut self, node: &str, asked: Millis, cancelled: Vec<(JobKey, u64)>) {
-        if !self.ownership.acting(self.now) {
+        if !self.election.acting(self.now) {
             return;
         }
         for (key, version) in cancelled {
@@ -275,7 +275,7 @@
         }
         self.peers.held(node, asked);
         if let Some(asked) = self.peers.all_held_at() {
-            self.ownership.held(self.now, asked);
+            self.election.held(self.now, asked);
         }
     }
 
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -2,8 +2,8 @@
 
 use super::{Controller, Loading, Output, Purpose, SHARE, Share, WorkerReply};
 use crate::Millis;
+use crate::election::Phase;
 use crate::ids::Ix;
-use crate::ownership::Phase;
 use crate::peers::Message;
 use crate::store::{StoreReply, StoreRequest, tail};
 use crate::wire::{Change, DirectCommands, Report, ReportAnswer, Transaction};
@@ -24,7 +24,7 @@
 const MAX_COUNTS: usize = 20_000;
 /// Raising the term costs a fresh start, so not more often than this.
 const RECLAIM_EVERY_MS: Millis = 8_000;
-/// An owner that hears nobody, no controller and no worker, for this long
+/// A leader that hears nobody, no controller and no worker, for this long
 /// gives the share up for another to take.
 const ISOLATED_MS: Millis = 4_000;
 const ISOLATED_HOLD_OFF_MS: Millis = 6_000;
@@ -45,51 +45,51 @@
 
 impl Controller {
     pub(super) fn leader_changed(&mut self) {
-        let Some((owner, version)) = &self.watch_cache.owner else {
+        let Some((leader, version)) = &self.watch_cache.leader else {
             return;
         };
-        if self.ownership.holds_claim() && owner.term > self.ownership.term {
-            tracing::warn!(by = owner.node, version, "somebody else owns the share");
+        if self.election.holds_claim() && leader.term > self.election.term {
+            tracing::warn!(by = leader.node, version, "somebody else owns the share");
             self.follow(0);
         }
     }
 
     pub(super) fn follow(&mut self, hold_off: Millis) {
-        self.ownership.step_down(self.now, hold_off);
+        self.election.step_down(self.now, hold_off);
         self.share = None;
         self.reclaim_wanted = false;
         self.raising = false;
         self.cloud.forget();
         self.pushes.clear();
-        self.calls.retain(|_, (purpose, _)| !owners(purpose));
-        self.queue.retain(|queued| !owners(&queued.purpose));
+        self.calls.retain(|_, (purpose, _)| !leaders(purpose));
+        self.queue.retain(|queued| !leaders(&queued.purpose));
     }
 
     pub(super) fn granted(&mut self, reply: StoreReply) {
-        if self.ownership.phase != Phase::Granting {
+        if self.election.phase != Phase::Granting {
             return;
         }
         match reply {
             StoreReply::Granted { lease } => {
-                let sent = self.ownership.asked_at();
-                match self.ownership.granted(lease, sent, &self.keys, &self.watch_cache) {
+                let sent = self.election.asked_at();
+                match self.election.granted(lease, sent, &self.keys, &self.watch_cache) {
                     Some(transaction) => self.send_claim(transaction),
                     None => self.follow(0),
                 }
             }
-            _ => self.ownership.step_down(self.now, 500),
+            _ => self.election.step_down(self.now, 500),
         }
     }
 
     pub(super) fn claim_answered(&mut self, transaction: Arc<Transaction>, sent: Millis, reply: StoreReply) {
-        if self.ownership.phase != Phase::Claiming {
+        if self.election.phase != Phase::Claiming {
             return;
         }
         match reply {
             StoreReply::Committed { revision } => self.claimed(revision),
             // Perhaps applied: the same again is applied or conflicts, and a
             // conflict is told apart by reading the claim.
-            StoreReply::Lost | StoreReply::Unavailable if self.now < sent + crate::ownership::LEASE_MS => {
+            StoreReply::Lost | StoreReply::Unavailable if self.now < sent + crate::election::LEASE_MS => {
                 self.queue.push_back(super::Queued {
                     purpose: Purpose::Claim {
                         transaction: transaction.clone(),
@@ -99,13 +99,13 @@
                     not_before: self.now + 200,
                 });
             }
-            StoreReply::Conflict { .. } => self.enqueue(Purpose::CheckClaim, StoreRequest::Get(self.keys.owner())),
+            StoreReply::Conflict { .. } => self.enqueue(Purpose::CheckClaim, StoreRequest::Get(self.keys.leader())),
             _ => self.follow(500),
         }
     }
 
     fn claimed(&mut self, version: u64) {
-        self.ownership.claimed(version);
+        self.election.claimed(version);
         self.claimed_at = self.now;
         self.reclaimed_at = self.now;
         if self.raising && !self.reclaim_wanted {
@@ -119,11 +119,11 @@
         self.worker_heard_at = self.now;
         // Nothing of the former term counts: what was in flight under it is
         // void, and what it did is read back.
-        self.calls.retain(|_, (purpose, _)| !owners(purpose));
-        self.queue.retain(|queued| !owners(&queued.purpose));
+        self.calls.retain(|_, (purpose, _)| !leaders(purpose));
+        self.queue.retain(|queued| !leaders(&queued.purpose));
         self.cloud.forget();
         self.pushes.clear();
-        let mut share = Share::new(SHARE, self.ownership.term, &self.settings, &self.policy);
+        let mut share = Share::new(SHARE, self.election.term, &self.settings, &self.policy);
         if let Some(catalogue) = &self.catalogue {
             share.set_catalogue(catalogue);
         }
@@ -136,11 +136,11 @@
     /// to see the new token.
     fn raised(&mut self) {
         self.raising = false;
-        self.ownership.phase = Phase::Active;
+        self.election.phase = Phase::Active;
         let Some(share) = &mut self.share else {
             return;
         };
-        share.term = self.ownership.term;
+        share.term = self.election.term;
         let doubtful = share.machines.iter().filter(|(_, machine)| machine.doubt > 0);
         let doubtful: Vec<Ix> = doubtful.map(|(ix, _)| ix).collect();
         share.to_push.extend(doubtful);
@@ -158,7 +158,7 @@
     }
 
     pub(super) fn load_answered(&mut self, part: Loading, request: &StoreRequest, reply: StoreReply) {
-        if self.ownership.phase != Phase::Loading {
+        if self.election.phase != Phase::Loading {
             return;
         }
         if matches!(reply, StoreReply::Page(_) | StoreReply::Log(_)) {
@@ -240,29 +240,29 @@
         // Asking each machine straight away spares a report interval.
         share.to_push.extend(share.machines.indices());
         tracing::info!(
-            term = self.ownership.term,
+            term = self.election.term,
             jobs = share.jobs.len(),
             machines = share.machines.len(),
             took_ms = self.now - self.loading_since,
             "took over the share"
         );
-        self.ownership.phase = Phase::Active;
+        self.election.phase = Phase::Active;
         self.place_wanted = true;
     }
 
     pub(super) fn renew_answered(&mut self, sent: Millis, reply: StoreReply) {
         match reply {
             StoreReply::Renewed => {
-                self.ownership.renewed(self.now, sent);
-                if self.ownership.suspended {
+                self.election.renewed(self.now, sent);
+                if self.election.suspended {
                     self.sync(0);
                 }
             }
-            StoreReply::LeaseGone if self.ownership.holds_claim() => {
+            StoreReply::LeaseGone if self.election.holds_claim() => {
                 tracing::warn!("the lease has ended");
                 self.follow(0);
             }
-            _ => self.ownership.renewal_failed(self.now),
+            _ => self.election.renewal_failed(self.now),
         }
     }
 
@@ -270,28 +270,28 @@
     /// what acting again waits for: a cancellation may have come in the meantime,
     /// and the claim may be another's.
     pub(super) fn watch_cache_read(&mut self, sent: Millis) {
-        self.ownership.watch_cache_read(sent);
-        if !self.ownership.may_resume(self.now, sent) {
+        self.election.watch_cache_read(sent);
+        if !self.election.may_resume(self.now, sent) {
             return;
         }
-        let claim = self.watch_cache.owner.as_ref();
+        let claim = self.watch_cache.leader.as_ref();
         let ours = claim
-            .is_some_and(|(owner, version)| self.ownership.is_mine(owner) && *version == self.ownership.claim_version);
+            .is_some_and(|(leader, version)| self.election.is_mine(leader) && *version == self.election.claim_version);
         if ours {
-            self.ownership.resume();
+            self.election.resume();
         } else {
             self.follow(0);
         }
     }
 
     pub(super) fn claim_checked(&mut self, reply: StoreReply) {
-        if self.ownership.phase != Phase::Claiming {
+        if self.election.phase != Phase::Claiming {
             return;
         }
         match reply {
             StoreReply::Found { value, version } => {
-                let owner = serde_json::from_value(value);
-                if owner.is_ok_and(|owner| self.ownership.is_mine(&owner)) {
+                let leader = serde_json::from_value(value);
+                if leader.is_ok_and(|leader| self.election.is_mine(&leader)) {
                     self.claimed(version);
                 } else {
                     self.follow(0);
@@ -305,20 +305,20 @@
     /// A transaction conflicted: if the claim was among the reasons, it is gone.
     /// Unless the transaction was older than our present claim.
     pub(super) fn check_claim_in(&mut self, request: &StoreRequest, failed: &[String]) -> bool {
-        let condition = self.ownership.condition(&self.keys);
+        let condition = self.election.condition(&self.keys);
         let present =
             matches!(request, StoreRequest::Transact(transaction) if transaction.conditions.contains(&condition));
-        let lost = present && self.ownership.holds_claim() && failed.contains(&condition.key);
+        let lost = present && self.election.holds_claim() && failed.contains(&condition.key);
         if lost {
-            tracing::warn!(term = self.ownership.term, "the claim is gone");
+            tracing::warn!(term = self.election.term, "the claim is gone");
             self.follow(0);
         }
         lost
     }
 
     pub(super) fn advance_leader(&mut self) {
-        if !self.ownership.acting(self.now) || self.share.is_none() {
-            if self.ownership.phase == Phase::Loading && self.now > self.load_heard_at + LOAD_PATIENCE_MS {
+        if !self.election.acting(self.now) || self.share.is_none() {
+            if self.election.phase == Phase::Loading && self.now > self.load_heard_at + LOAD_PATIENCE_MS {
                 self.follow(500);
             }
             return;
@@ -326,8 +326,8 @@
         if self.is_isolated() {
             tracing::warn!("hearing no controller and no worker; giving the share up");
             let transaction = Transaction {
-                conditions: vec![self.ownership.condition(&self.keys)],
-                changes: vec![Change::delete(self.keys.owner())],
+                conditions: vec![self.election.condition(&self.keys)],
+                changes: vec![Change::delete(self.keys.leader())],
             };
             self.follow(ISOLATED_HOLD_OFF_MS);
             self.enqueue(Purpose::Resign, StoreRequest::Transact(transaction.into()));
@@ -378,7 +378,7 @@
             share.place(self.now);
             // On promises alone nothing can be written, and so nothing started in
             // place of what would be stopped.
-            if self.ownership.lease_valid(self.now) {
+            if self.election.lease_valid(self.now) {
                 share.preempt(self.now);
             }
         }
@@ -398,7 +398,7 @@
         };
         let wanted = self.reclaim_wanted || share.withdraw;
         // Claiming gives up what the others promised, and can't succeed in an outage.
-        if !wanted || !self.ownership.lease_valid(self.now) || self.now < self.reclaimed_at + RECLAIM_EVERY_MS {
+        if !wanted || !self.election.lease_valid(self.now) || self.now < self.reclaimed_at + RECLAIM_EVERY_MS {
             return false;
         }
         // What is in flight depends on the claim as it is.
@@ -407,8 +407,8 @@
             return false;
         }
         share.withdraw = false;
-        tracing::info!(term = self.ownership.term, "raising the term");
-        let transaction = self.ownership.reclaim(&self.keys, &self.watch_cache);
+        tracing::info!(term = self.election.term, "raising the term");
+        let transaction = self.election.reclaim(&self.keys, &self.watch_cache);
         self.send_claim(transaction);
         true
     }
@@ -424,7 +424,7 @@
             return;
         }
         self.pushed_at = self.now;
-        let (now, term) = (self.now, self.ownership.term);
+        let (now, term) = (self.now, self.election.term);
         let mut room = self.most_pushes().saturating_sub(self.pushes.len());
         let Some(share) = &mut self.share else {
             return;
@@ -536,10 +536,10 @@
         }
     }
 
-    /// Merges a report as the owner. `None`: it was not the owner's to take.
+    /// Merges a report as the leader. `None`: it was not the leader's to take.
     pub(super) fn take_report(&mut self, report: &Report, path: Path) -> Option<Merged> {
         let now = self.now;
-        if !self.ownership.acting(now) {
+        if !self.election.acting(now) {
             return None;
         }
         let share = self.share.as_mut()?;
@@ -556,7 +556,7 @@
                 // Somebody claimed after us, whatever our lease says.
                 tracing::warn!(
                     token = report.token,
-                    term = self.ownership.term,
+                    term = self.election.term,
                     "a worker has seen a higher token"
                 );
                 self.follow(1_000);
@@ -567,11 +567,11 @@
         Some(merged)
     }
 
-    /// Answers a worker's report as the owner: the token, and its commands.
+    /// Answers a worker's report as the leader: the token, and its commands.
     /// `via`: the peer that relayed it, if one did.
     pub(super) fn answer_report(&mut self, report: &Report, via: Option<&str>) -> Option<ReportAnswer> {
         let merged = self.take_report(report, Path::Sent)?;
-        let (now, token) = (self.now, self.ownership.term);
+        let (now, token) = (self.now, self.election.term);
         let share = self.share.as_mut()?;
         if let Merged::New(ix) = merged
             && let Some(machine) = share.machines.get_mut(ix)
@@ -651,7 +651,7 @@
 }
 
 /// Requests that mean something only within one term.
-fn owners(purpose: &Purpose) -> bool {
+fn leaders(purpose: &Purpose) -> bool {
     matches!(
         purpose,
         Purpose::Load(_)
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -12,8 +12,8 @@
 #[cfg(test)]
 pub use share::tests::share_with;
 
+use crate::election::{LeaderElection, LeaseRequest, Phase};
 use crate::intake::{Asker, Intake, IntakeContext, Want};
-use crate::ownership::{LeaseRequest, Ownership, Phase};
 pub use crate::peers::WorkerReply;
 use crate::peers::{Answer, Ask, Message, Peers};
 use crate::policy::Policy;
@@ -130,7 +130,7 @@
     Resign,
 }
 
-/// What a new owner reads, in this order.
+/// What a new leader reads, in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Loading {
     Machines,
@@ -161,7 +161,7 @@
     outputs: Vec<Output>,
     next_call: u64,
 
-    ownership: Ownership,
+    election: LeaderElection,
     watch_cache: WatchCache,
     catalogue: Option<Catalogue>,
     intake: Intake,
@@ -173,7 +173,7 @@
     requests: Bucket,
     writes: Bucket,
     /// Kept for what users wait for, so that it never queues behind a large
-    /// transaction of the owner.
+    /// transaction of the leader.
     user_writes: Bucket,
     watching: bool,
     watch_not_before: Millis,
@@ -192,7 +192,7 @@
     claimed_at: Millis,
     worker_heard_at: Millis,
     maintained_at: Millis,
-    /// When it last acted as the owner.
+    /// When it last acted as the leader.
     acted_at: Millis,
     placed_at: Millis,
     place_wanted: bool,
@@ -214,7 +214,7 @@
     relay_out: Vec<(u64, Report)>,
     relayed_at: Millis,
     connections: Connections,
-    /// Commands taken over from an owner, by our call: who asked, and its id.
+    /// Commands taken over from a leader, by our call: who asked, and its id.
     held: BTreeMap<u64, (String, u64)>,
     pushed_out: BTreeMap<String, Vec<(u64, WorkerReply)>>,
     /// Workers that this controller sent on lately, and when old ones were forgotten.
@@ -233,7 +233,7 @@
             outputs: Vec::new(),
             // A peer may still answer what a former life of this process asked.
             next_call: life >> 1,
-            ownership: Ownership::new(&settings.node, life, settings.watch_cache_age_ms()),
+            election: LeaderElection::new(&settings.node, life, settings.watch_cache_age_ms()),
             watch_cache: WatchCache::default(),
             catalogue: None,
             intake: Intake::default(),
@@ -300,8 +300,8 @@
         std::mem::take(&mut self.outputs)
     }
 
-    pub fn owns_share(&self) -> bool {
-        self.ownership.acting(self.now)
+    pub fn leads(&self) -> bool {
+        self.election.acting(self.now)
     }
 
     fn call(&mut self) -> u64 {
@@ -319,7 +319,7 @@
             let message = Message::Heartbeat {
                 node: self.settings.node.clone(),
                 share: SHARE.into(),
-                owns_term: self.owns_share().then_some(self.ownership.term),
+                leads_term: self.leads().then_some(self.election.term),
                 store_ok: self.store_ok(),
             };
             self.tell_all(&message);
@@ -334,7 +334,7 @@
     /// Whatever is due, after every input.
     fn advance(&mut self) {
         self.advance_watch_cache();
-        self.advance_ownership();
+        self.advance_election();
         self.advance_leader();
         if let Some(number) = self.intake.take_sync() {
             self.sync(number);
@@ -382,11 +382,11 @@
         }
     }
 
-    fn advance_ownership(&mut self) {
+    fn advance_election(&mut self) {
         let others = self.peers.is_alone() || self.peers.any_in_reach(self.now);
-        match self.ownership.poll(self.now, &self.watch_cache, others) {
+        match self.election.poll(self.now, &self.watch_cache, others) {
             Some(LeaseRequest::Grant) => {
-                let ttl_ms = crate::ownership::LEASE_MS;
+                let ttl_ms = crate::election::LEASE_MS;
                 self.enqueue(Purpose::Grant, StoreRequest::Grant { ttl_ms });
             }
             Some(LeaseRequest::Renew(lease)) => {
@@ -399,12 +399,12 @@
     /// Where the state service can't be reached, the others may promise not to
     /// claim meanwhile.
     fn ask_to_hold(&mut self) {
-        if !self.ownership.asks_to_hold(self.now) {
+        if !self.election.asks_to_hold(self.now) {
             return;
         }
         let message = Message::Hold {
             share: SHARE.into(),
-            term: self.ownership.term,
+            term: self.election.term,
             asked: self.now,
             revision: self.watch_cache.revision,
         };
@@ -505,7 +505,7 @@
     /// for users. What is left over is the reserve for leases and claims.
     fn budget(&self) -> (f64, f64, f64) {
         let nodes = self.settings.peers.len() as f64 + 1.0;
-        if self.ownership.phase == Phase::Follower {
+        if self.election.phase == Phase::Follower {
             (0.4 / nodes, 0.05 / nodes, 0.15 / nodes)
         } else if self.queue.iter().any(Queued::is_users_write) {
             // A wave of submissions: what is being started, ended and cleaned up
@@ -614,7 +614,7 @@
     fn watch_cache_changed(&mut self, changes: Vec<WatchedChange>) {
         for change in changes {
             match change {
-                WatchedChange::Owner => self.leader_changed(),
+                WatchedChange::Leader => self.leader_changed(),
                 WatchedChange::Catalogue => {
                     let value = self.watch_cache.catalogue.as_ref().map(|(value, _)| value.clone());
                     match value.map(serde_json::from_value::<Catalogue>) {
@@ -651,9 +651,9 @@
 
     fn with_intake<T>(&mut self, act: impl FnOnce(&mut Intake, &IntakeContext, &Peers) -> T) -> T {
         let claim = self
-            .ownership
+            .election
             .acting(self.now)
-            .then(|| self.ownership.condition(&self.keys));
+            .then(|| self.election.condition(&self.keys));
         let (catalogue, teams) = (&self.catalogue, &self.settings.params.teams);
         let refuse = |spec: &JobSpec| {
             catalogue
@@ -721,17 +721,17 @@
         self.carry_out(wants);
     }
 
-    /// Who should answer: the owner takes submissions and cancels; any other
+    /// Who should answer: the leader takes submissions and cancels; any other
     /// controller only when this one can't use the state service.
     fn forward_to(&self, ask: &Ask) -> Option<String> {
-        if self.owns_share() {
+        if self.leads() {
             return None;
         }
-        let owner = self.peers.owner(self.now);
+        let leader = self.peers.leader(self.now);
         let to = match ask {
-            Ask::Submit(_) | Ask::Cancel(_) if owner.is_some() => owner,
+            Ask::Submit(_) | Ask::Cancel(_) if leader.is_some() => leader,
             _ if self.store_ok() => None,
-            _ => owner.or(self.peers.with_store(self.now)),
+            _ => leader.or(self.peers.with_store(self.now)),
         };
         to.map(str::to_owned)
     }
--- a/src/controller/share.rs
+++ b/src/controller/share.rs
@@ -18,13 +18,13 @@
 /// A machine that refused a task gets no new ones for this long.
 const REFUSED_REST_MS: Millis = 1_000;
 
-/// Everything that the owner of a share knows of it. Made anew for every term.
+/// Everything that the leader of a share knows of it. Made anew for every term.
 pub struct Share {
     pub name: String,
     pub term: u64,
     pub policy: Policy,
     pub report_s: f64,
-    /// Since when the owner has taken reports without a break.
+    /// Since when the leader has taken reports without a break.
     pub hearing_since: Millis,
     /// The time of day of the step now going on.
     pub wall: Millis,
@@ -192,7 +192,7 @@
         machine.group = Some(self.roster.add(self.term, ix));
     }
 
-    /// Takes over what the former owner left: machines first, then hires, then
+    /// Takes over what the former leader left: machines first, then hires, then
     /// every written firing. Jobs come by the watch cache before these.
     pub fn load_group(&mut self, now: Millis, name: &str, entry: &Entry) {
         let Ok(value) = serde_json::from_value::<GroupValue>(entry.value.clone()) else {
--- a/src/ownership/mod.rs
+++ b/src/election/mod.rs
@@ -4,16 +4,16 @@
 //! claiming transaction also raises the term, which is the worker token. The
 //! lease's validity is reckoned from when the last successful renewal was
 //! *sent*, so it may be found lapsed early, never late. So is the age of the
-//! watch cache: an owner that renews but no longer hears what users cancel through
+//! watch cache: a leader that renews but no longer hears what users cancel through
 //! others would keep their workers' leases alive, so it neither acts nor renews.
 //!
 //! In an outage that all share nobody can claim or confirm anything, and workers
-//! would drop all their tasks for nothing. So an owner also acts as long as *every*
+//! would drop all their tasks for nothing. So a leader also acts as long as *every*
 //! other controller has just promised not to claim, and has told it of all
 //! cancellations it knows (`held`). A single one missing ends it.
 
 use crate::Millis;
-use crate::store::{Keys, OwnerValue, WatchCache};
+use crate::store::{Keys, LeaderValue, WatchCache};
 use crate::wire::{Change, Condition, Transaction};
 use serde_json::json;
 
@@ -24,7 +24,7 @@
 const MARGIN_MS: u64 = 300;
 /// How long a controller that promised it does not claim.
 pub const HOLD_MS: Millis = 2_000;
-/// An owner asks for promises when its last renewal is this old, so often.
+/// A leader asks for promises when its last renewal is this old, so often.
 const HOLD_AFTER_MS: Millis = 1_500;
 const HOLD_EVERY_MS: Millis = 300;
 /// A controller that hears no other waits this much longer before it claims,
@@ -43,16 +43,16 @@
 }
 
 #[derive(Debug)]
-pub struct Ownership {
+pub struct LeaderElection {
     node: String,
     life: u64,
     pub phase: Phase,
     pub term: u64,
-    /// Version of the claim key; every transaction of the owner depends on it.
+    /// Version of the claim key; every transaction of the leader depends on it.
     pub claim_version: u64,
     lease: Option<u64>,
     valid_until: Millis,
-    /// How old the watch cache may be while the owner acts, and
+    /// How old the watch cache may be while the leader acts, and
     /// until when it is young enough.
     watch_cache_age_ms: Millis,
     watch_cache_until: Millis,
@@ -73,16 +73,16 @@
     renewed_again_at: Option<Millis>,
 }
 
-/// What ownership wants sent.
+/// What leader election wants sent.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LeaseRequest {
     Grant,
     Renew(u64),
 }
 
-impl Ownership {
-    pub fn new(node: &str, life: u64, watch_cache_age_ms: Millis) -> Ownership {
-        Ownership {
+impl LeaderElection {
+    pub fn new(node: &str, life: u64, watch_cache_age_ms: Millis) -> LeaderElection {
+        LeaderElection {
             node: node.into(),
             life,
             phase: Phase::Follower,
@@ -156,7 +156,7 @@
 
     pub fn condition(&self, keys: &Keys) -> Condition {
         Condition {
-            key: keys.owner(),
+            key: keys.leader(),
             version: self.claim_version,
         }
     }
@@ -180,10 +180,10 @@
                     return None;
                 }
                 // A claim by an earlier life of this process is as good as none.
-                let vacant = match &watch_cache.owner {
-                    // Where there never was an owner, nobody was promised anything.
+                let vacant = match &watch_cache.leader {
+                    // Where there never was a leader, nobody was promised anything.
                     None => watch_cache.term.0 == 0 || now >= born_at + HOLD_MS + MARGIN_MS,
-                    Some((owner, _)) => self.was_mine(owner),
+                    Some((leader, _)) => self.was_mine(leader),
                 };
                 if !vacant {
                     self.vacant_since = None;
@@ -211,18 +211,18 @@
     }
 
     /// The claim, unless somebody else claimed while the lease was asked for: that
-    /// owner acts until its own lease lapses.
+    /// leader acts until its own lease lapses.
     pub fn granted(&mut self, lease: u64, sent: Millis, keys: &Keys, watch_cache: &WatchCache) -> Option<Transaction> {
         if watch_cache
-            .owner
+            .leader
             .as_ref()
-            .is_some_and(|(owner, _)| !self.was_mine(owner))
+            .is_some_and(|(leader, _)| !self.was_mine(leader))
         {
             return None;
         }
         self.lease = Some(lease);
         self.valid_until = sent + LEASE_MS - MARGIN_MS;
-        let version = watch_cache.owner.as_ref().map_or(0, |(_, version)| *version);
+        let version = watch_cache.leader.as_ref().map_or(0, |(_, version)| *version);
         Some(self.claim(keys, version, watch_cache.term))
     }
 
@@ -232,10 +232,10 @@
         self.claim(keys, self.claim_version, watch_cache.term)
     }
 
-    fn claim(&mut self, keys: &Keys, owner_version: u64, (term, term_version): (u64, u64)) -> Transaction {
+    fn claim(&mut self, keys: &Keys, leader_version: u64, (term, term_version): (u64, u64)) -> Transaction {
         self.phase = Phase::Claiming;
         self.term = term.max(self.term) + 1;
-        let value = OwnerValue {
+        let value = LeaderValue {
             node: self.node.clone(),
             life: self.life,
             term: self.term,
@@ -243,12 +243,12 @@
         let condition = |key: String, version| Condition { key, version };
         Transaction {
             conditions: vec![
-                condition(keys.owner(), owner_version),
+                condition(keys.leader(), leader_version),
                 condition(keys.term(), term_version),
             ],
             changes: vec![
                 Change::Put {
-                    put: keys.owner(),
+                    put: keys.leader(),
                     value: json!(value),
                     lease: self.lease,
                 },
@@ -266,13 +266,13 @@
     }
 
     /// A claim by an earlier life of this process.
-    fn was_mine(&self, owner: &OwnerValue) -> bool {
-        owner.node == self.node && owner.life != self.life
+    fn was_mine(&self, leader: &LeaderValue) -> bool {
+        leader.node == self.node && leader.life != self.life
     }
 
     /// True if a claim key read from the store is the one last asked for.
-    pub fn is_mine(&self, owner: &OwnerValue) -> bool {
-        owner.node == self.node && owner.life == self.life && owner.term == self.term
+    pub fn is_mine(&self, leader: &LeaderValue) -> bool {
+        leader.node == self.node && leader.life == self.life && leader.term == self.term
     }
 
     pub fn renewed(&mut self, now: Millis, sent: Millis) {
--- /dev/null
+++ b/src/election/tests.rs
@@ -0,0 +1,144 @@
+#![allow(clippy::field_reassign_with_default)]
+
+use super::*;
+
+const AGE_MS: Millis = 5_000;
+
+fn claimed(sent: Millis) -> (LeaderElection, Keys, WatchCache) {
+    let keys = Keys::new("pool");
+    let mut watch_cache = WatchCache::default();
+    watch_cache.complete = true;
+    let mut election = LeaderElection::new("a", 1, AGE_MS);
+    election.watch_cache_read(sent + LEASE_MS);
+    assert_eq!(election.poll(sent, &watch_cache, true), Some(LeaseRequest::Grant));
+    assert!(election.granted(9, sent, &keys, &watch_cache).is_some());
+    election.claimed(5);
+    election.phase = Phase::Active;
+    (election, keys, watch_cache)
+}
+
+#[test]
+fn validity_counts_from_when_the_renewal_was_sent() {
+    let (mut election, _, watch_cache) = claimed(1_000);
+    assert!(election.acting(1_000 + LEASE_MS - MARGIN_MS - 1));
+    assert!(!election.acting(1_000 + LEASE_MS - MARGIN_MS));
+    election.renewed(2_000, 2_000);
+    assert!(election.acting(2_000 + LEASE_MS - MARGIN_MS - 1));
+    // Guards against acting again on a renewal alone: after a lapse another
+    // controller may have claimed and lost the share in between.
+    let lapsed = 2_000 + LEASE_MS;
+    election.poll(lapsed, &watch_cache, true);
+    election.renewed(lapsed + 1, lapsed);
+    assert!(!election.acting(lapsed + 1));
+    // Nor is a read from before the renewal enough, or an old watch cache.
+    assert!(!election.may_resume(lapsed + 1, lapsed));
+    election.watch_cache_read(lapsed + 1);
+    assert!(election.may_resume(lapsed + 2, lapsed + 1));
+    election.resume();
+    assert!(election.acting(lapsed + 2));
+}
+
+/// Guards against a leader that renews and answers workers while it hears of no
+/// cancellation: it held their leases, and the cancelled tasks, for as long as
+/// its reads were lost.
+#[test]
+fn a_leader_with_an_old_watch_cache_neither_acts_nor_renews() {
+    let (mut election, _, watch_cache) = claimed(0);
+    let old = LEASE_MS + AGE_MS;
+    election.renewed(old - 1, old - 1);
+    assert!(election.acting(old - 1));
+    assert!(!election.acting(old));
+    assert_eq!(election.poll(old, &watch_cache, true), None);
+    election.watch_cache_read(old);
+    assert_eq!(election.poll(old + 1, &watch_cache, true), Some(LeaseRequest::Renew(9)));
+    assert!(!election.acting(old + 1));
+}
+
+#[test]
+fn a_controller_that_hears_nobody_lets_others_claim_first() {
+    let mut watch_cache = WatchCache::default();
+    watch_cache.complete = true;
+    let mut election = LeaderElection::new("a", 1, AGE_MS);
+    assert_eq!(election.poll(0, &watch_cache, false), None);
+    assert_eq!(
+        election.poll(ALONE_DELAY_MS, &watch_cache, false),
+        Some(LeaseRequest::Grant)
+    );
+}
+
+#[test]
+fn every_claim_raises_the_term_and_depends_on_it() {
+    let (mut election, keys, watch_cache) = claimed(0);
+    let first = election.term;
+    let transaction = election.reclaim(&keys, &watch_cache);
+    assert!(election.term > first);
+    assert!(transaction.conditions.iter().any(|c| c.key == keys.term()));
+    assert!(
+        transaction
+            .conditions
+            .iter()
+            .any(|c| c.key == keys.leader() && c.version == 5)
+    );
+}
+
+/// An outage that all share: nobody can claim, and stopping would cost all that
+/// runs. The promise counts from when it was asked for, and only without a break.
+#[test]
+fn a_leader_acts_as_long_as_all_others_promise_not_to_claim() {
+    let (mut election, _, watch_cache) = claimed(0);
+    let lapse = LEASE_MS - MARGIN_MS;
+    assert!(!election.asks_to_hold(HOLD_AFTER_MS - MARGIN_MS - 1));
+    assert!(election.asks_to_hold(lapse - 500));
+    assert!(!election.asks_to_hold(lapse - 499));
+    election.held(lapse - 100, lapse - 500);
+    let until = lapse - 500 + HOLD_MS;
+    assert!(election.acting(until - 1));
+    assert!(!election.lease_valid(until - 1));
+    assert!(!election.acting(until));
+    // Late promises revive nothing: another may have been the leader meanwhile.
+    election.held(until + 10, until + 5);
+    assert!(!election.acting(until + 10));
+    election.poll(until + 10, &watch_cache, true);
+    assert!(!election.promise(until + 10), "it may still be the leader");
+}
+
+#[test]
+fn a_controller_that_promised_does_not_claim_nor_does_its_next_life() {
+    let mut watch_cache = WatchCache::default();
+    watch_cache.complete = true;
+    watch_cache.term = (3, 8);
+    let mut election = LeaderElection::new("a", 1, AGE_MS);
+    let settled = HOLD_MS + MARGIN_MS;
+    // A former life may have promised just before this one began.
+    assert_eq!(election.poll(0, &watch_cache, true), None);
+    assert_eq!(election.poll(settled - 1, &watch_cache, true), None);
+    assert!(election.promise(settled - 1));
+    assert_eq!(election.poll(2 * settled - 2, &watch_cache, true), None);
+    assert_eq!(
+        election.poll(2 * settled - 1, &watch_cache, true),
+        Some(LeaseRequest::Grant)
+    );
+    assert!(!election.promise(2 * settled), "it is about to claim");
+}
+
+/// Guards against two leaders at once: another's claim, seen while the lease was
+/// asked for, was taken for the version to claim over, and its leader acted on for
+/// as long as it did not hear of it (`fleetbench real`, a log of inc-a48c).
+#[test]
+fn nobody_claims_over_a_claim_seen_while_the_lease_was_asked_for() {
+    let keys = Keys::new("pool");
+    let mut watch_cache = WatchCache::default();
+    watch_cache.complete = true;
+    let mut election = LeaderElection::new("a", 1, AGE_MS);
+    assert_eq!(election.poll(0, &watch_cache, true), Some(LeaseRequest::Grant));
+    let claim = |node: &str, life| LeaderValue {
+        node: node.into(),
+        life,
+        term: 1,
+    };
+    watch_cache.leader = Some((claim("b", 2), 1));
+    assert_eq!(election.granted(9, 0, &keys, &watch_cache), None);
+    // One of its own earlier life is as good as none.
+    watch_cache.leader = Some((claim("a", 2), 1));
+    assert!(election.granted(9, 0, &keys, &watch_cache).is_some());
+}
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -65,7 +65,7 @@
 /// Guards against giving up all machines after an outage of the state
 /// service that was longer than their leases: nobody could hear them.
 #[test]
-fn silence_counts_from_when_the_owner_hears_again() {
+fn silence_counts_from_when_the_leader_hears_again() {
     let mut share = share_with(1, &[("small", 8.0)], 1, true);
     for (name, heard_at) in [("host-1", Some(0)), ("host-2", Some(0)), ("host-3", None)] {
         let ix = share.add_machine(0, name, "small", "north", true);
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -28,7 +28,7 @@
 const WRITE_PATIENCE_MS: Millis = 3_500;
 const SHOW_PATIENCE_MS: Millis = 1_700;
 /// Writing it ourselves is as safe as waiting: the write is create-once, and the
-/// owner hears of it by its watch.
+/// leader hears of it by its watch.
 const FORWARD_PATIENCE_MS: Millis = 100;
 
 /// Who waits for the answer.
@@ -93,7 +93,7 @@
     pub keys: &'a Keys,
     pub watch_cache: &'a WatchCache,
     pub limits: &'a Limits,
-    /// The owner's claim, while this controller is the acting owner.
+    /// The leader's claim, while this controller is the acting leader.
     pub claim: Option<Condition>,
     /// Teams and machine types; `None` until the catalogue is known.
     pub refuse: &'a dyn Fn(&JobSpec) -> Option<Result<(), Refusal>>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,11 +5,11 @@
 //! into one deterministic state machine and [`runtime`] alone does I/O.
 
 pub mod controller;
+pub mod election;
 pub mod fleet;
 pub mod ids;
 pub mod intake;
 pub mod memory;
-pub mod ownership;
 pub mod peers;
 pub mod pipeline;
 pub mod placement;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -54,7 +54,7 @@
     Heartbeat {
         node: String,
         share: String,
-        owns_term: Option<u64>,
+        leads_term: Option<u64>,
         store_ok: bool,
     },
     Forward {
@@ -66,7 +66,7 @@
         id: u64,
         answer: Answer,
     },
-    /// Reports of workers, many at once, for the owner to answer.
+    /// Reports of workers, many at once, for the leader to answer.
     Relay {
         share: String,
         reports: Vec<(u64, Report)>,
@@ -82,7 +82,7 @@
     Pushed {
         replies: Vec<(u64, WorkerReply)>,
     },
-    /// An owner that can't reach the state service asks all others not to claim
+    /// A leader that can't reach the state service asks all others not to claim
     /// for a while. `asked`: by its clock, which means nothing to another life of
     /// it, hence the term; `revision`: what its watch cache holds.
     Hold {
@@ -106,10 +106,10 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Link {
-    /// When it was asked, by the owner's clock, what it last promised.
+    /// When it was asked, by the leader's clock, what it last promised.
     held_at: Millis,
     heard_at: Option<Millis>,
-    owns_term: Option<u64>,
+    leads_term: Option<u64>,
     store_ok: bool,
 }
 
@@ -132,10 +132,10 @@
         self.links.keys().cloned().collect()
     }
 
-    pub fn heartbeat(&mut self, now: Millis, node: &str, owns_term: Option<u64>, store_ok: bool) {
+    pub fn heartbeat(&mut self, now: Millis, node: &str, leads_term: Option<u64>, store_ok: bool) {
         if let Some(link) = self.links.get_mut(node) {
             link.heard_at = Some(now);
-            link.owns_term = owns_term;
+            link.leads_term = leads_term;
             link.store_ok = store_ok;
         }
     }
@@ -164,11 +164,11 @@
     }
 
     /// The controller in reach that says it owns the share, under the highest term.
-    pub fn owner(&self, now: Millis) -> Option<&str> {
+    pub fn leader(&self, now: Millis) -> Option<&str> {
         self.links
             .iter()
-            .filter(|(_, link)| heard(link, now) && link.owns_term.is_some())
-            .max_by_key(|(_, link)| link.owns_term)
+            .filter(|(_, link)| heard(link, now) && link.leads_term.is_some())
+            .max_by_key(|(_, link)| link.leads_term)
             .map(|(node, _)| node.as_str())
     }
 
--- a/src/pipeline/ledger.rs
+++ b/src/pipeline/ledger.rs
@@ -1,8 +1,8 @@
 //! What must be written next, and the transactions that write it.
 //!
-//! One transaction is in flight at a time. Each carries the owner's claim and
+//! One transaction is in flight at a time. Each carries the leader's claim and
 //! the version of every key it changes, so that a copy applied late, or sent by
-//! a former owner, changes nothing.
+//! a former leader, changes nothing.
 
 use super::{ChunkValue, OpenRecord};
 use crate::Millis;
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -1,4 +1,4 @@
-//! Jobs of the share as their owner sees them: triggers, firings, done sets.
+//! Jobs of the share as their leader sees them: triggers, firings, done sets.
 //!
 //! A job's tasks are kept in chunks; a chunk's key holds its done set, its open
 //! attempts and the next attempt number. A firing is written there with its
@@ -78,7 +78,7 @@
     pub done: TaskSet,
     /// Open attempts by task.
     pub open: BTreeMap<u32, Ix>,
-    /// Tasks from here on were never looked at since this owner began.
+    /// Tasks from here on were never looked at since this leader began.
     pub fresh: u32,
     /// Tasks to run again, not before the given time.
     pub retry: VecDeque<(Millis, u32)>,
--- a/src/runtime/links/tests.rs
+++ b/src/runtime/links/tests.rs
@@ -6,7 +6,7 @@
     Message::Heartbeat {
         node: node.into(),
         share: "pool".into(),
-        owns_term: None,
+        leads_term: None,
         store_ok: true,
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -163,7 +163,7 @@
         crate::millis(self.params.workers.lease_s * DRIFT) + crate::millis(SETTLE_S)
     }
 
-    /// How old the owner's knowledge of cancellations may be while it answers
+    /// How old the leader's knowledge of cancellations may be while it answers
     /// workers: from the confirmation of a cancellation until the lease that the
     /// last answer renewed has surely lapsed, no more than `cancel_s` may pass.
     pub fn watch_cache_age_ms(&self) -> crate::Millis {
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -51,7 +51,7 @@
     assert!(error.contains("rps"), "{error}");
 }
 
-/// Where leases are nearly as long as `cancel_s`, an owner may act on an older
+/// Where leases are nearly as long as `cancel_s`, a leader may act on an older
 /// watch cache for less long; where it can't be short enough, that is said by name.
 #[test]
 fn the_age_of_the_watch_cache_fits_into_the_time_to_cancel() {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,7 +5,7 @@
 mod watch_cache;
 
 pub use budget::Bucket;
-pub use watch_cache::{JobKey, OwnerValue, WatchCache, WatchedChange};
+pub use watch_cache::{JobKey, LeaderValue, WatchCache, WatchedChange};
 
 use crate::wire::{Entry, Log, Page, Transaction};
 use serde_json::Value;
@@ -62,7 +62,7 @@
 }
 
 /// Key names. The watched prefix stays small: whatever every controller must
-/// hear of. The rest is read only by an owner taking over, or one key at a time.
+/// hear of. The rest is read only by a leader taking over, or one key at a time.
 #[derive(Clone, Debug)]
 pub struct Keys {
     share: String,
@@ -77,7 +77,7 @@
         format!("live/{}/", self.share)
     }
 
-    pub fn owner(&self) -> String {
+    pub fn leader(&self) -> String {
         format!("live/{}/owner", self.share)
     }
 
--- a/src/store/watch_cache.rs
+++ b/src/store/watch_cache.rs
@@ -3,9 +3,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// The claim of a share's owner.
+/// The claim of a share's leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct OwnerValue {
+pub struct LeaderValue {
     pub node: String,
     /// Tells one life of a process from the next.
     pub life: u64,
@@ -24,7 +24,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum WatchedChange {
-    Owner,
+    Leader,
     Catalogue,
     Job(String),
     JobGone(String),
@@ -36,7 +36,7 @@
     pub revision: u64,
     /// False until the first full read, and again when a watch fell too far behind.
     pub complete: bool,
-    pub owner: Option<(OwnerValue, u64)>,
+    pub leader: Option<(LeaderValue, u64)>,
     pub term: (u64, u64),
     pub catalogue: Option<(serde_json::Value, u64)>,
     /// Each with the version of its key.
@@ -62,8 +62,8 @@
         }
         let (revision, events) = self.reading.take()?;
         let mut changes: Vec<WatchedChange> = Vec::new();
-        if self.owner.take().is_some() {
-            changes.push(WatchedChange::Owner);
+        if self.leader.take().is_some() {
+            changes.push(WatchedChange::Leader);
         }
         let before = std::mem::take(&mut self.jobs);
         self.tasks = 0;
@@ -145,13 +145,13 @@
             };
             return Some(WatchedChange::Job(id.into()));
         }
-        if key == keys.owner() {
-            self.owner = if gone {
+        if key == keys.leader() {
+            self.leader = if gone {
                 None
             } else {
-                serde_json::from_value(event.value).ok().map(|owner| (owner, version))
+                serde_json::from_value(event.value).ok().map(|leader| (leader, version))
             };
-            return Some(WatchedChange::Owner);
+            return Some(WatchedChange::Leader);
         }
         if key == keys.term() && !gone {
             let term = event.value.get("term").and_then(|term| term.as_u64());
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -30,7 +30,7 @@
     New(Ix),
     /// Older than one already merged: its task list means nothing now.
     Old,
-    /// Its worker has seen a token above ours: somebody else is the owner.
+    /// Its worker has seen a token above ours: somebody else is the leader.
     Outranked,
     /// From a machine already deleted.
     Gone,
--- a/src/workers/merge/tests.rs
+++ b/src/workers/merge/tests.rs
@@ -69,13 +69,13 @@
 }
 
 /// The only attempt never starts. Guards against giving its room to others while
-/// its record is still there: the owner ended just then, the next one started
+/// its record is still there: the leader ended just then, the next one started
 /// both, and a team went beyond its limit (controllers that hand over and back,
 /// seed 46).
 fn closes_once_its_record_is_gone(share: &mut Share) {
     let keys = Keys::new("pool");
     let claim = Condition {
-        key: keys.owner(),
+        key: keys.leader(),
         version: 1,
     };
     assert_eq!(open(share), 1);
@@ -163,7 +163,7 @@
     share.machines.get(machine).expect("there").usable(now)
 }
 
-/// Guards against late copies of reports: a new owner took a machine that was
+/// Guards against late copies of reports: a new leader took a machine that was
 /// gone for one in use, and placed tasks on it.
 #[test]
 fn only_a_report_of_this_term_shows_that_a_machine_is_there() {
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -51,7 +51,7 @@
     /// Asked to stop, with this much time to save.
     pub stop: Option<f64>,
     /// Proven never to start. It keeps its room until its record is gone from the
-    /// state service: a new owner would read it there and start it.
+    /// state service: a new leader would read it there and start it.
     pub withdrawn: bool,
 }
 
@@ -220,7 +220,7 @@
     }
 
     /// May be given new tasks: the roster names it (a successor must know of
-    /// it), it was heard by this owner, and nothing speaks against it.
+    /// it), it was heard by this leader, and nothing speaks against it.
     pub fn usable(&self, now: Millis) -> bool {
         self.written
             && self.heard_at.is_some()
