Show by failing tests that an older answer follows the end of a job

Four tests of one controller, all failing on this commit: a slow confirming read, an older answer of the leader, a failed read, and a 404 for a job accepted meanwhile. The log lines stand at the top of the file.

--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -1,11 +1,13 @@
 use super::*;
 use crate::Millis;
 use crate::election::Phase;
-use crate::peers::{CancelledJob, Message, UserRequest};
+use crate::peers::{Answer, CancelledJob, Message, UserRequest};
 use crate::settings::tests::SAMPLE;
 use crate::store::{JobKey, StoreReply, StoreRequest};
 use crate::wire::{Entry, JobSpec, Page, Transaction};
 
+mod ends_told;
+
 fn at(monotonic: Millis) -> Now {
     Now {
         monotonic,
--- /dev/null
+++ b/src/controller/tests/ends_told.rs
@@ -0,0 +1,193 @@
+//! What a controller has told of a job's end overtakes whatever else it was about to answer.
+//!
+//! What happened (meetings, seed 146: job j-000008 through controller n4, times in ms):
+//!
+//! ```text
+//! [59341] n4 IN  request 782 Show("j-000008")
+//! [59558] n4 IN  request 786 Cancel("j-000008")
+//! [59574] n6 OUT Transact: kept/pool/end/j-000008, live/pool/job/j-000008 "ended": "aborted"
+//! [59588] n4 IN  ForwardReply of n6: "aborted"
+//! [59588] n4 OUT Answer to 786: "standing":"aborted"
+//! [59664] n4 OUT Answer to 782: "standing":"running","running":1
+//! ```
+//!
+//! A poll waited for its confirming read, whose reply took 320 ms and was as old as its
+//! execution. Meanwhile the cancellation was forwarded, committed by the leader and answered
+//! through the same controller, which passed the answer on without noting it. Its watch
+//! cache learns of an end up to 150 ms later, so the poll was answered from the older
+//! state: 76 ms after "aborted", and the rule `went_back` was broken.
+
+use super::*;
+
+const JOB: &str = "j-000007";
+const POLL: u64 = 1;
+const CANCELLATION: u64 = 2;
+const SUBMISSION: u64 = 3;
+
+/// A controller with one peer, whose state service answers when the test says so.
+struct Fixture {
+    controller: Controller,
+    monotonic: Millis,
+    peer: String,
+}
+
+impl Fixture {
+    /// Knows the watched keys of this page, and whether the peer leads.
+    fn new(page: StoreReply, leading_term: Option<u64>) -> Fixture {
+        let settings = Settings::parse(SAMPLE).expect("valid settings");
+        let peer = settings.peers[0].node.clone();
+        let mut fixture = Fixture {
+            controller: Controller::new(settings, Policy::default(), 7),
+            monotonic: 1_000_000,
+            peer,
+        };
+        let call = last_store_call(&fixture.step(Input::Tick));
+        fixture.reply(call, page);
+        fixture.hear(heartbeat(&fixture.peer.clone(), leading_term));
+        fixture
+    }
+
+    fn step(&mut self, input: Input) -> Vec<Output> {
+        self.monotonic += 10;
+        self.controller.step(at(self.monotonic), input)
+    }
+
+    fn hear(&mut self, message: Message) -> Vec<Output> {
+        let node = self.peer.clone();
+        let message = Box::new(message);
+        self.step(Input::Peer { node, message })
+    }
+
+    fn ask(&mut self, request: u64, user_request: UserRequest) -> Vec<Output> {
+        self.step(Input::User { request, user_request })
+    }
+
+    fn poll(&mut self) -> Vec<Output> {
+        self.ask(POLL, UserRequest::Show(JOB.into()))
+    }
+
+    fn submit(&mut self) -> Vec<Output> {
+        let body = serde_json::json!(unfinished_job().spec).to_string();
+        self.ask(SUBMISSION, UserRequest::Submit(body))
+    }
+
+    /// The leader answers the request that these outputs forward to it.
+    fn leader_answers(&mut self, forwarded: &[Output], standing: &str) -> Vec<Output> {
+        let id = forwarded.iter().find_map(|output| match output {
+            Output::Peer {
+                message: Message::ForwardRequest { id, .. },
+                ..
+            } => Some(*id),
+            _ => None,
+        });
+        let answer = Answer {
+            status: 200,
+            body: serde_json::json!({"id": JOB, "standing": standing}).to_string(),
+            retry_after_s: None,
+        };
+        let id = id.expect("forwarded to the leader");
+        self.hear(Message::ForwardReply { id, answer })
+    }
+
+    /// A user cancels the job, which the leader confirms.
+    fn cancel_through_leader(&mut self) {
+        let forwarded = self.ask(CANCELLATION, UserRequest::Cancel(JOB.into()));
+        let told = self.leader_answers(&forwarded, "aborted");
+        assert_eq!(standing_told(&told, CANCELLATION).as_deref(), Some("aborted"));
+    }
+
+    fn reply(&mut self, call: u64, reply: StoreReply) -> Vec<Output> {
+        self.step(Input::Store { call, reply })
+    }
+}
+
+/// The answer to a request among these outputs.
+fn answer_to(outputs: &[Output], asked: u64) -> Option<&Answer> {
+    outputs.iter().find_map(|output| match output {
+        Output::Answer { request, answer } if *request == asked => Some(answer),
+        _ => None,
+    })
+}
+
+fn standing_told(outputs: &[Output], asked: u64) -> Option<String> {
+    let body: serde_json::Value = serde_json::from_str(&answer_to(outputs, asked)?.body).expect("json");
+    Some(body["standing"].as_str()?.to_owned())
+}
+
+fn unfinished_job() -> JobKey {
+    let mut key = cancelled_job();
+    key.spec.id = JOB.into();
+    key.ended = None;
+    key
+}
+
+/// The watched keys: this one.
+fn watched(key: String, value: serde_json::Value) -> StoreReply {
+    StoreReply::Page(Page {
+        items: vec![Entry { key, value, version: 9 }],
+        more: false,
+        revision: 9,
+    })
+}
+
+fn page_with_job() -> StoreReply {
+    watched(format!("live/pool/job/{JOB}"), serde_json::json!(unfinished_job()))
+}
+
+/// The catalogue and no job.
+fn page_without_job() -> StoreReply {
+    let catalogue = serde_json::json!({"rigs": [{"name": "small", "cores": 8.0, "cards": 0, "memGb": 32.0,
+        "cacheGb": 50.0, "pullGbPerS": 1.0, "hourly": 1.0, "spotPrice": 0.5, "bootS": 10.0, "yards": ["north"]}]});
+    watched("live/pool/catalogue".into(), catalogue)
+}
+
+/// The reply to a confirming read that was executed before anything changed.
+fn nothing_changed() -> StoreReply {
+    StoreReply::Log(crate::wire::Log {
+        revision: 9,
+        events: Vec::new(),
+    })
+}
+
+#[test]
+fn a_poll_read_before_a_cancellation_is_not_answered_as_running_after_it() {
+    let mut fixture = Fixture::new(page_with_job(), Some(3));
+    let slow_read = last_store_call(&fixture.poll());
+    fixture.cancel_through_leader();
+    let told = fixture.reply(slow_read, nothing_changed());
+    assert_eq!(standing_told(&told, POLL).as_deref(), Some("aborted"));
+}
+
+/// The same where the leader was asked in place of the state service.
+#[test]
+fn an_older_answer_of_the_leader_is_not_passed_on_after_a_cancellation() {
+    let mut fixture = Fixture::new(page_with_job(), Some(3));
+    let forwarded = fixture.submit();
+    fixture.cancel_through_leader();
+    let told = fixture.leader_answers(&forwarded, "running");
+    assert_eq!(standing_told(&told, SUBMISSION).as_deref(), Some("aborted"));
+}
+
+/// The user hears of the end also where the read itself fails.
+#[test]
+fn a_poll_whose_read_fails_after_a_cancellation_is_answered_with_it() {
+    let mut fixture = Fixture::new(page_with_job(), Some(3));
+    let read = last_store_call(&fixture.poll());
+    fixture.cancel_through_leader();
+    let told = fixture.reply(read, StoreReply::Unavailable);
+    assert_eq!(standing_told(&told, POLL).as_deref(), Some("aborted"));
+}
+
+/// A job is accepted between the reads that did not find it and their answer, which
+/// must not deny it.
+#[test]
+fn a_job_accepted_meanwhile_is_not_denied() {
+    let mut fixture = Fixture::new(page_without_job(), None);
+    let confirming_read = last_store_call(&fixture.poll());
+    let read_of_end = last_store_call(&fixture.reply(confirming_read, nothing_changed()));
+    let write = last_store_call(&fixture.submit());
+    let accepted = fixture.reply(write, StoreReply::Committed { revision: 12 });
+    assert_eq!(answer_to(&accepted, SUBMISSION).expect("told").status, 201);
+    let told = fixture.reply(read_of_end, StoreReply::Missing);
+    assert_eq!(answer_to(&told, POLL).expect("told").status, 503);
+}
