Let the end of a job overtake answers that were read before it

Cause: an answer is as old as the read that it rests on, and that read's reply may take longer than a whole cancellation asked for later. A cancellation that the leader confirms is passed on to the user without being noted, and the watch cache hears of it up to 150 ms later, so the older read was told afterwards.

Change: every answer to a pending request goes through one place, which tells the job's end instead if it is known by then; ends told for the leader and ends written here are remembered. A job accepted between the reads that did not find it and their answer is not denied with 404.

--- a/src/admission/answers.rs
+++ b/src/admission/answers.rs
@@ -56,6 +56,21 @@
     status_answer(STATUS_OK, &job)
 }
 
+/// How a job ended, if that is what this answer of another controller says.
+pub(super) fn end_told(answer: &Answer) -> Option<EndValue> {
+    if answer.status != STATUS_OK {
+        return None;
+    }
+    let job: JobStatus = serde_json::from_str(&answer.body).ok()?;
+    match job.state {
+        JobState::Done | JobState::Cancelled => Some(EndValue {
+            state: job.state,
+            done: job.done.unwrap_or(0),
+        }),
+        JobState::Queued | JobState::Running => None,
+    }
+}
+
 /// The job is accepted and has not ended. Counts that aren't known are given as 0.
 pub(super) fn unfinished(job_id: &str, counts: Option<TaskCounts>) -> Answer {
     let TaskCounts { done, running } = counts.unwrap_or_default();
--- a/src/admission/confirmations.rs
+++ b/src/admission/confirmations.rs
@@ -3,7 +3,7 @@
 use super::answers::{self, Unavailable};
 use super::cancellations::cancellation;
 use super::pending::Awaited;
-use super::{Admission, AdmissionContext, AdmissionEffect, QuestionKind, watched_end};
+use super::{Admission, AdmissionContext, AdmissionEffect, QuestionKind};
 use crate::store::{EndValue, StoreReply};
 
 /// The reads that bring the watch cache up to date, numbered in the order they are
@@ -59,10 +59,10 @@
     }
 
     /// The confirming read with this number failed.
-    pub fn confirming_read_failed(&mut self, number: u64) -> Vec<AdmissionEffect> {
+    pub fn confirming_read_failed(&mut self, context: &AdmissionContext<'_>, number: u64) -> Vec<AdmissionEffect> {
         let mut effects = Vec::new();
         for request_id in self.served_by(number) {
-            effects.extend(self.finish(request_id, Unavailable::StateServiceUnreachable.answer()));
+            effects.extend(self.finish(context, request_id, Unavailable::StateServiceUnreachable.answer()));
         }
         effects
     }
@@ -79,14 +79,17 @@
 
     /// The watch cache is newer than the request: what it shows may be told.
     fn confirmed(&mut self, context: &AdmissionContext<'_>, request_id: u64) -> Vec<AdmissionEffect> {
+        let Some(request) = self.pending.get(&request_id) else {
+            return Vec::new();
+        };
+        if let Some(end) = self.known_end(context.watch_cache, &request.question.job_id) {
+            let answer = answers::ended(&request.question.job_id, end);
+            return self.finish(context, request_id, answer);
+        }
         let Some(request) = self.pending.get_mut(&request_id) else {
             return Vec::new();
         };
         let job_id = &request.question.job_id;
-        if let Some(end) = watched_end(context.watch_cache, job_id) {
-            let answer = answers::ended(job_id, end);
-            return self.finish(request_id, answer);
-        }
         let Some((job, version)) = context.watch_cache.jobs().get(job_id) else {
             let key = context.keys.end(job_id);
             request.awaited = Awaited::EndRead;
@@ -97,12 +100,17 @@
             return request.start_write(request_id, Box::new(write));
         }
         let answer = answers::unfinished(job_id, (context.counts)(job_id));
-        self.finish(request_id, answer)
+        self.finish(context, request_id, answer)
     }
 
     /// The read of a job's end came back. The job key was seen missing before,
     /// so a missing end now means that no such job was ever accepted.
-    pub fn end_read(&mut self, request_id: u64, reply: &StoreReply) -> Vec<AdmissionEffect> {
+    pub fn end_read(
+        &mut self,
+        context: &AdmissionContext<'_>,
+        request_id: u64,
+        reply: &StoreReply,
+    ) -> Vec<AdmissionEffect> {
         let Some(request) = self.pending.get(&request_id) else {
             return Vec::new();
         };
@@ -117,6 +125,10 @@
                     Unavailable::EndUnreadable.answer()
                 }
             },
+            // Accepted since it was looked for: its users may have been told so.
+            StoreReply::Missing if context.watch_cache.jobs().contains_key(&request.question.job_id) => {
+                Unavailable::ChangedMeanwhile.answer()
+            }
             StoreReply::Missing => match &request.question.kind {
                 QuestionKind::RefusedSubmission(refusal) => refusal.answer(),
                 // It was there when the write was refused and is not now:
@@ -126,6 +138,6 @@
             },
             _ => Unavailable::StateServiceUnreachable.answer(),
         };
-        self.finish(request_id, answer)
+        self.finish(context, request_id, answer)
     }
 }
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -5,6 +5,11 @@
 //! all requests then waiting). Acceptances and cancellations are answered only
 //! once their create-once write is known to have succeeded.
 //!
+//! What was read may be overtaken before it is told: a reply can take longer than a
+//! cancellation that was asked for later. So every answer to a pending request is checked
+//! against what is known by then of the job's end ([`Admission::finish`]), and an end that
+//! this controller has told is remembered.
+//!
 //! Admission does no I/O. Each of its methods returns the [`AdmissionEffect`]s that the
 //! controller is to carry out, whose replies come back under the request's id.
 
@@ -137,7 +142,7 @@
         {
             match submissions::decide(context, spec) {
                 Decision::Accept(write) => return request.start_write(request_id, write),
-                Decision::Postpone(reason) => return self.finish(request_id, reason.answer()),
+                Decision::Postpone(reason) => return self.finish(context, request_id, reason.answer()),
                 // Told to the user only once it is confirmed that the job is not known.
                 Decision::Refuse(refusal) => question.kind = QuestionKind::RefusedSubmission(refusal),
             }
@@ -148,12 +153,22 @@
 
     /// Another controller answered. Its "can't take it" is final too: it said
     /// so knowing more than we do.
-    pub fn forwarded(&mut self, request_id: u64, answer: Answer) -> Vec<AdmissionEffect> {
-        let awaited = self.pending.get(&request_id).map(|request| &request.awaited);
-        match awaited {
-            Some(Awaited::PeerAnswer { .. }) => self.finish(request_id, answer),
-            _ => Vec::new(),
+    pub fn forwarded(
+        &mut self,
+        context: &AdmissionContext<'_>,
+        request_id: u64,
+        answer: Answer,
+    ) -> Vec<AdmissionEffect> {
+        let Some(request) = self.pending.get(&request_id) else {
+            return Vec::new();
+        };
+        if !matches!(request.awaited, Awaited::PeerAnswer { .. }) {
+            return Vec::new();
+        }
+        if let Some(end) = answers::end_told(&answer) {
+            self.remembered_ends.remember(&request.question.job_id, end);
         }
+        self.finish(context, request_id, answer)
     }
 
     /// Gives up what waited too long; takes back what was forwarded in vain.
@@ -165,7 +180,7 @@
                 continue;
             };
             if request.is_out_of_time(context.now) {
-                effects.extend(self.finish(request_id, Unavailable::NoAnswerInTime.answer()));
+                effects.extend(self.finish(context, request_id, Unavailable::NoAnswerInTime.answer()));
             } else if request.is_forwarded_in_vain(context.now, in_reach) {
                 effects.extend(self.begin(context, request_id));
             }
@@ -173,11 +188,19 @@
         effects
     }
 
-    fn finish(&mut self, request_id: u64, answer: Answer) -> Vec<AdmissionEffect> {
-        match self.pending.remove(&request_id) {
-            Some(request) => vec![AdmissionEffect::Answer(request.requester, answer)],
-            None => Vec::new(),
-        }
+    /// Answers a pending request. An end that became known while the answer was worked
+    /// out is told in its place: users of this controller may have heard of it already,
+    /// and nothing older may follow.
+    fn finish(&mut self, context: &AdmissionContext<'_>, request_id: u64, answer: Answer) -> Vec<AdmissionEffect> {
+        let Some(request) = self.pending.remove(&request_id) else {
+            return Vec::new();
+        };
+        let job_id = &request.question.job_id;
+        let answer = match self.known_end(context.watch_cache, job_id) {
+            Some(end) => answers::ended(job_id, end),
+            None => answer,
+        };
+        vec![AdmissionEffect::Answer(request.requester, answer)]
     }
 
     /// Number of pending requests.
--- a/src/admission/writes.rs
+++ b/src/admission/writes.rs
@@ -4,11 +4,12 @@
 //! seen, so that it is carried out at most once, however often it is sent.
 
 use super::answers::{self, Unavailable};
+use super::cancellations::CANCELLED;
 use super::pending::Awaited;
 use super::{Admission, AdmissionContext, AdmissionEffect, Question, QuestionKind};
 use crate::peers::Answer;
 use crate::store::{EndValue, JobKey, StoreReply};
-use crate::wire::{Change, Condition, JobState, Transaction};
+use crate::wire::{Change, Condition, Transaction};
 use serde_json::json;
 use std::sync::Arc;
 
@@ -45,6 +46,11 @@
         let transaction = Arc::new(Transaction { conditions, changes });
         JobWrite { transaction, job }
     }
+
+    /// How the job ended by this write, if it did.
+    fn end(&self) -> Option<EndValue> {
+        self.job.ended.map(|_| CANCELLED)
+    }
 }
 
 impl Admission {
@@ -64,12 +70,15 @@
         match reply {
             StoreReply::Committed { revision } => {
                 let answer = answer_to_write(&request.question);
+                if let Some(end) = write.end() {
+                    self.remembered_ends.remember(&request.question.job_id, end);
+                }
                 let mut effects = vec![AdmissionEffect::RecordJob {
                     id: request.question.job_id.clone(),
                     job: write.job.clone(),
                     revision: *revision,
                 }];
-                effects.extend(self.finish(request_id, answer));
+                effects.extend(self.finish(context, request_id, answer));
                 effects
             }
             StoreReply::Conflict { .. } => {
@@ -83,7 +92,7 @@
                 request_id,
                 transaction: write.transaction.clone(),
             }],
-            _ => self.finish(request_id, Unavailable::StateServiceUnreachable.answer()),
+            _ => self.finish(context, request_id, Unavailable::StateServiceUnreachable.answer()),
         }
     }
 }
@@ -91,13 +100,7 @@
 /// What the user is told once the write has succeeded.
 fn answer_to_write(question: &Question) -> Answer {
     match question.kind {
-        QuestionKind::Cancellation => {
-            let end = EndValue {
-                state: JobState::Cancelled,
-                done: 0,
-            };
-            answers::ended(&question.job_id, end)
-        }
+        QuestionKind::Cancellation => answers::ended(&question.job_id, CANCELLED),
         _ => answers::accepted(&question.job_id),
     }
 }
--- a/src/controller/peer_messages.rs
+++ b/src/controller/peer_messages.rs
@@ -61,7 +61,7 @@
 
     fn on_forward_reply(&mut self, id: u64, answer: Answer) {
         if let Some(pending_id) = self.forwarded_requests.take(id) {
-            let effects = self.admission.forwarded(pending_id, answer);
+            let effects = self.with_admission(|admission, context, _| admission.forwarded(context, pending_id, answer));
             self.apply_effects(effects);
         }
     }
--- a/src/controller/watching.rs
+++ b/src/controller/watching.rs
@@ -78,7 +78,7 @@
                 if is_up_to_date {
                     admission.confirming_read_done(context, read)
                 } else {
-                    admission.confirming_read_failed(read)
+                    admission.confirming_read_failed(context, read)
                 }
             });
             self.apply_effects(effects);
