Count a shortage of room until a task is placed, not until a machine is chosen

Cause: the job had failed on three of the four machines that fit it and keeps off them until it is short of room for 10 s. The fourth listed an earlier attempt of its next task, so a round chose it and did not use it; the choice alone reset the time of the shortage, in every round.

Change: only a task that is placed, or a wait for a cached image, ends a shortage.

--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -186,7 +186,10 @@
                 Choice::NoRoom => {
                     job.short_since.get_or_insert(self.context.now.monotonic);
                 }
-                Choice::Start { .. } | Choice::Wait { .. } => job.short_since = None,
+                Choice::Wait { .. } => job.short_since = None,
+                // The machine may still list an earlier attempt of the task: only what
+                // is placed there ends the shortage.
+                Choice::Start { .. } => {}
             }
         }
         choice
@@ -210,6 +213,9 @@
         self.view.assign(slot, next.resources, next.image);
         let machine = self.view.machine_at(slot);
         let chunk = self.context.open_attempt(next.job, next.task, machine);
+        if let Some(job) = self.context.jobs.table.get_mut(next.job) {
+            job.short_since = None;
+        }
         // Tasks of one chunk are mostly placed one after the other.
         self.chunks
             .extend(chunk.filter(|chunk| self.chunks.last() != Some(chunk)));
