Ask for a higher term where a start in doubt keeps a job from the only room

Cause: a machine is not told to forget an ended attempt while a direct start of this term that went unanswered may still arrive, and a task keeps off a machine that lists an earlier attempt of it.

Change: a job that was short of room for 10 s, while there is room on such a machine, asks for it as well, at most once until it is raised, and says so in the log. The condition 'a start of this term is unconfirmed' has one method in place of three comparisons.

--- a/src/controller/shard/scheduling.rs
+++ b/src/controller/shard/scheduling.rs
@@ -37,6 +37,7 @@
                 monotonic: now,
                 wall_clock: self.wall_clock,
             },
+            term: self.term,
             jobs: &mut self.jobs,
             workers: &mut self.workers,
             topology: &self.topology,
--- a/src/controller/shard/tests/attempts.rs
+++ b/src/controller/shard/tests/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::worker_fixture::*;
 use crate::Millis;
-use crate::controller::shard_with;
+use crate::controller::{Shard, shard_with};
 use crate::ids::{ChunkId, MachineIx};
 use crate::wire::{ExitReason, Report, TaskState};
 use crate::workers::{Outcome, ReportPath};
@@ -93,6 +93,14 @@
     assert!(!shard.pending_writes.has_changes_of_jobs());
 }
 
+/// The first machine reports that the task's attempt there was stopped, and stays in reach.
+fn lists_its_attempt(shard: &mut Shard) {
+    let ended = task(TaskState::Exited, Some(ExitReason::Stopped));
+    shard.merge_report(10, &report(1, 2, 5, vec![ended]), ReportPath::Heartbeat);
+    let machine = shard.workers.machines.find("host-1").expect("known");
+    machine_of_mut(shard, machine).report_due = Millis::MAX;
+}
+
 /// Guards against a job that waits beside idle machines for as long as a term lasts
 /// (all machines sick for a while, seed 193: j-000021 from 93.7 s to 183.8 s). It had
 /// failed on three of the four machines that fit it. The fourth listed the earlier attempt of
@@ -120,8 +128,7 @@
         known.written = true;
         known.report_due = Millis::MAX;
     }
-    let ended = task(TaskState::Exited, Some(ExitReason::Stopped));
-    shard.merge_report(10, &report(1, 2, 5, vec![ended]), ReportPath::Heartbeat);
+    lists_its_attempt(&mut shard);
     let avoided = shard.workers.machines.find("host-2").expect("known");
     let job = shard.jobs.table.find("j-1").expect("known");
     shard.jobs.table.get_mut(job).expect("there").failed_on = vec![avoided];
@@ -138,18 +145,20 @@
 fn a_job_that_waits_for_a_start_in_doubt_asks_for_a_higher_term() {
     let (mut shard, machine) = shard();
     machine_of_mut(&mut shard, machine).unconfirmed_start_term = 5;
-    let ended = task(TaskState::Exited, Some(ExitReason::Stopped));
-    shard.merge_report(10, &report(1, 2, 5, vec![ended]), ReportPath::Heartbeat);
+    lists_its_attempt(&mut shard);
     shard.place(20);
     shard.place(9_000);
     assert!(!shard.workers.needs_higher_term, "not for a short wait");
     shard.place(11_000);
-    assert!(shard.workers.needs_higher_term);
+    assert!(std::mem::take(&mut shard.workers.needs_higher_term));
+    // Not once more while the worker has yet to see the new term.
+    shard.term = 6;
+    shard.place(12_000);
+    assert!(!shard.workers.needs_higher_term);
     // Not where the worker has seen a later term, under which it is told to forget.
     let (mut shard, machine) = self::shard();
     machine_of_mut(&mut shard, machine).unconfirmed_start_term = 4;
-    let ended = task(TaskState::Exited, Some(ExitReason::Stopped));
-    shard.merge_report(10, &report(1, 2, 5, vec![ended]), ReportPath::Heartbeat);
+    lists_its_attempt(&mut shard);
     for now in [20, 11_000, 22_000] {
         shard.place(now);
     }
--- a/src/pipeline/job.rs
+++ b/src/pipeline/job.rs
@@ -18,8 +18,9 @@
 /// A job this old goes before all younger ones, whatever their priority: the
 /// order by priority and deadline alone could put it off for ever.
 const OLD_MS: Millis = 300_000;
-/// How long a job that is short of room keeps off the machines it failed on.
-const AVOID_MS: Millis = 10_000;
+/// How long a job that is short of room keeps off machines that have it, since it failed
+/// on them or they list an earlier attempt.
+const LONG_SHORTAGE_MS: Millis = 10_000;
 /// Waiting and fetching again, before a stopped task runs again.
 const RESTART_MS: Millis = 45_000;
 /// What a task that is started again may take, in terms of its estimate.
@@ -165,11 +166,17 @@
     /// Stops avoiding the machines that it failed on once it has been short of room for
     /// long: they may be the only ones that fit it.
     pub fn stop_avoiding_if_short(&mut self, now: Millis) {
-        if self.short_since.is_some_and(|since| now > since + AVOID_MS) {
+        if self.is_short_for_long(now) {
             self.failed_on.clear();
         }
     }
 
+    /// Whether it has found no room for so long that what keeps it off machines with
+    /// room has to end.
+    pub fn is_short_for_long(&self, now: Millis) -> bool {
+        self.short_since.is_some_and(|since| now > since + LONG_SHORTAGE_MS)
+    }
+
     /// The next task to place. It stays the next one until it is placed.
     pub fn next_task(&mut self, now: Millis) -> Option<u32> {
         if let Some(&(at, task)) = self.retry.front()
--- a/src/placement/context.rs
+++ b/src/placement/context.rs
@@ -26,6 +26,8 @@
 pub struct PlacementContext<'a> {
     /// When the round runs.
     pub now: Now,
+    /// The term in which it runs.
+    pub term: u64,
     /// The jobs and the quotas of their teams.
     pub jobs: &'a mut Jobs,
     /// The machines and the open attempts.
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -118,6 +118,7 @@
     fn place_job(&mut self, job_ix: JobIx, turn: Turn) {
         let mut ranking = None;
         let mut placed = 0;
+        let mut awaits_higher_term = false;
         while placed < turn.max_tasks() && self.starts_left > 0 {
             let Some(next) = self.next_task(job_ix, turn) else {
                 return;
@@ -127,6 +128,7 @@
             }
             match self.choose(job_ix, &mut ranking) {
                 Choice::Start { slot } if self.lists_earlier_attempt(self.view.machine_at(slot), &next) => {
+                    awaits_higher_term |= self.is_start_in_doubt(self.view.machine_at(slot));
                     if let Some(ranking) = &mut ranking {
                         ranking.skip_best();
                     }
@@ -137,7 +139,7 @@
                     ranking = ranking.filter(|ranking| next.ranking_serves_following(ranking));
                 }
                 Choice::Wait { until } => return self.wait(job_ix, until),
-                Choice::NoRoom => return self.found_no_room(&next),
+                Choice::NoRoom => return self.found_no_room(&next, awaits_higher_term),
             }
         }
     }
@@ -209,6 +211,13 @@
             .any(|unmatched| split_task(&unmatched.task) == Some((job.id.as_str(), next.task)))
     }
 
+    /// Whether the machine keeps what it lists until a higher term: it is not told to
+    /// forget while a start of this term may still arrive there.
+    fn is_start_in_doubt(&self, machine: MachineIx) -> bool {
+        let machine = self.context.workers.machines.get(machine);
+        machine.is_some_and(|machine| machine.has_unconfirmed_start_of(self.context.term))
+    }
+
     fn start(&mut self, next: &NextTask, slot: usize) {
         self.view.assign(slot, next.resources, next.image);
         let machine = self.view.machine_at(slot);
@@ -228,9 +237,18 @@
         }
     }
 
-    fn found_no_room(&mut self, next: &NextTask) {
+    /// `awaits_higher_term`: there is room on a machine that lists an earlier attempt of
+    /// the task for as long as the term lasts.
+    fn found_no_room(&mut self, next: &NextTask, awaits_higher_term: bool) {
+        let now = self.context.now.monotonic;
         if let Some(job) = self.context.jobs.table.get_mut(next.job) {
-            job.stop_avoiding_if_short(self.context.now.monotonic);
+            let asked = &mut self.context.workers.needs_higher_term;
+            if awaits_higher_term && job.is_short_for_long(now) && !*asked {
+                // Nothing else would ever end that wait.
+                *asked = true;
+                tracing::info!(job = job.id, "a start that may still arrive keeps a job waiting");
+            }
+            job.stop_avoiding_if_short(now);
             // Small tasks would fill for ever what it needs whole.
             if next.urgency == Urgency::Pressing {
                 self.view.reserve(&job.shape);
--- a/src/workers/absence.rs
+++ b/src/workers/absence.rs
@@ -61,7 +61,7 @@
         }
         if !machine.may_receive_direct_start(received.report.fencing_token) {
             Absence::NeverStarts
-        } else if machine.unconfirmed_start_term >= received.term {
+        } else if machine.has_unconfirmed_start_of(received.term) {
             // Starts of earlier terms are withdrawn already, once the worker
             // sees ours; only one of our own term calls for a higher.
             Absence::NeedsHigherTerm
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -69,7 +69,7 @@
     /// those that ended are forgotten once that is safe.
     fn push_unmatched_commands(&self, term: u64, jobs: &Jobs, commands: &mut Vec<Command>) {
         // A start that arrives after the worker forgot its attempt would run it again.
-        let forget_safe = self.unconfirmed_start_term < term && !self.delivery.has_starts_in_flight();
+        let forget_safe = !self.has_unconfirmed_start_of(term) && !self.delivery.has_starts_in_flight();
         for unmatched in &self.unmatched_tasks {
             let (task, attempt) = (unmatched.task.clone(), unmatched.attempt);
             if unmatched.state != TaskState::Exited {
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -138,6 +138,13 @@
             && now >= self.cordoned_until
     }
 
+    /// A direct start of this term went unanswered and may still arrive. Only a higher
+    /// term ends that; starts of earlier terms are withdrawn once the worker has seen
+    /// this one.
+    pub fn has_unconfirmed_start_of(&self, term: u64) -> bool {
+        self.unconfirmed_start_term >= term
+    }
+
     /// When it was last known to be up, in this term or before.
     pub fn last_sign(&self) -> Option<Millis> {
         self.heard_at.or(self.known_up_at)
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -119,7 +119,7 @@
     /// reports may not grow without end.
     fn limit_ended_tasks(&mut self, ix: MachineIx, term: u64) {
         self.needs_higher_term |= self.machines.get(ix).is_some_and(|machine| {
-            machine.unconfirmed_start_term >= term && machine.unmatched_ended_tasks() >= MANY_ENDED
+            machine.has_unconfirmed_start_of(term) && machine.unmatched_ended_tasks() >= MANY_ENDED
         });
     }
 }
