--- a/src/controller/tests/ends_told.rs
+++ b/src/controller/tests/ends_told.rs
@@ -191,3 +191,54 @@
     let told = fixture.reply(read_of_end, StoreReply::Missing);
     assert_eq!(answer_to(&told, POLL).expect("told").status, 503);
 }
+
+/// One controller can't know what another has told. What happened (meetings, seed 525:
+/// job j-000017, times in ms; seed 692 likewise with a repeated submission):
+///
+/// ```text
+/// [100151] n2 IN  request 1625 Show("j-000017")
+/// [100401] n1 IN  request 1634 Cancel("j-000017")
+/// [100431] n1 OUT Answer to 1634: "standing":"aborted"
+/// [100435] n2 OUT Answer to 1625: "standing":"running","running":6
+/// ```
+///
+/// So a cancellation is told only once the other controllers have answered a question about
+/// the job that was asked after its commit: by then they have answered all that they had
+/// read before, or know of the end.
+#[test]
+fn a_cancellation_is_told_once_the_other_controllers_know_of_it() {
+    let mut fixture = Fixture::new(page_with_job(), None);
+    let committed = fixture.commit_cancellation();
+    assert_eq!(answer_to(&committed, CANCELLATION), None);
+    let told = fixture.leader_answers(&committed, "aborted");
+    assert_eq!(standing_told(&told, CANCELLATION).as_deref(), Some("aborted"));
+}
+
+/// A poll is given up after 1.7 s: by then nothing older can be told by a controller that
+/// does not answer, in reach or not.
+#[test]
+fn a_cancellation_does_not_wait_for_ever_for_a_controller_that_is_silent() {
+    for silent_for in [0, 5_000] {
+        let mut fixture = Fixture::new(page_with_job(), None);
+        fixture.monotonic += silent_for;
+        let committed = fixture.commit_cancellation();
+        assert_eq!(answer_to(&committed, CANCELLATION), None);
+        let committed_at = fixture.monotonic;
+        let mut told = Vec::new();
+        while standing_told(&told, CANCELLATION).is_none() && fixture.monotonic < committed_at + 5_000 {
+            told = fixture.step(Input::Tick);
+        }
+        assert_eq!(standing_told(&told, CANCELLATION).as_deref(), Some("aborted"));
+        let waited = fixture.monotonic - committed_at;
+        assert!((1_700..2_000).contains(&waited), "{waited} ms");
+    }
+}
+
+impl Fixture {
+    /// Cancels the job here, up to the commit. Returns what follows from that.
+    fn commit_cancellation(&mut self) -> Vec<Output> {
+        let read = last_store_call(&self.ask(CANCELLATION, UserRequest::Cancel(JOB.into())));
+        let write = last_store_call(&self.reply(read, nothing_changed()));
+        self.reply(write, StoreReply::Committed { revision: 12 })
+    }
+}
