Tell of a cancellation once the other controllers know of it

Cause: the poll's confirming read was executed before the cancellation was committed, and only its reply was slow. Nothing tells a controller what another has answered; its watch cache hears of the end up to 150 ms later.

Change: before a cancellation is answered, the other controllers in reach are asked for the job's state, by the request that forwards polls. Confirming reads are answered in the order in which they are sent, so a controller that replies has answered all that it had read before, and knows of the end from then on. A controller that does not reply is waited for as long as a poll lives (1.7 s and a tick). No new frame, and older controllers answer it as any poll.

--- a/src/admission/confirmations.rs
+++ b/src/admission/confirmations.rs
@@ -83,8 +83,13 @@
             return Vec::new();
         };
         if let Some(end) = self.known_end(context.watch_cache, &request.question.job_id) {
-            let answer = answers::ended(&request.question.job_id, end);
-            return self.finish(context, request_id, answer);
+            return match request.question.kind {
+                QuestionKind::Cancellation => self.confirm_at_peers(context, request_id, end),
+                _ => {
+                    let answer = answers::ended(&request.question.job_id, end);
+                    self.finish(context, request_id, answer)
+                }
+            };
         }
         let Some(request) = self.pending.get_mut(&request_id) else {
             return Vec::new();
@@ -116,6 +121,9 @@
         };
         let answer = match reply {
             StoreReply::Found { value, .. } => match serde_json::from_value::<EndValue>(value.clone()) {
+                Ok(end) if matches!(request.question.kind, QuestionKind::Cancellation) => {
+                    return self.confirm_at_peers(context, request_id, end);
+                }
                 Ok(end) => {
                     self.remembered_ends.remember(&request.question.job_id, end);
                     answers::ended(&request.question.job_id, end)
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -17,6 +17,7 @@
 mod cancellations;
 mod confirmations;
 mod effects;
+mod peer_confirmations;
 mod pending;
 mod question;
 mod refusal;
@@ -30,7 +31,7 @@
 pub use refusal::{Refusal, Verdict};
 
 use crate::Millis;
-use crate::peers::{Answer, UserRequest};
+use crate::peers::{Answer, PeerLinks, UserRequest};
 use crate::pipeline::TaskCounts;
 use crate::settings::Limits;
 use crate::store::{EndValue, Keys, WatchCache};
@@ -65,6 +66,8 @@
     pub claim: Option<Condition>,
     /// Whether a well-formed job can ever run.
     pub verdict: &'a dyn Fn(&JobSpec) -> Verdict,
+    /// The other controllers, and which of them are in reach.
+    pub peers: &'a PeerLinks,
     /// Task counts of an unfinished job, if they are known here.
     pub counts: &'a dyn Fn(&str) -> Option<TaskCounts>,
 }
@@ -92,7 +95,7 @@
             Ok(question) => question,
             Err(answer) => return vec![AdmissionEffect::Answer(requester, answer)],
         };
-        if let Some(answer) = self.immediate_answer(context.watch_cache, &question.job_id) {
+        if let Some(answer) = self.immediate_answer(context.watch_cache, &question) {
             return vec![AdmissionEffect::Answer(requester, answer)];
         }
         let mut request = PendingRequest::new(requester, question, context.now);
@@ -115,9 +118,15 @@
     }
 
     /// The answer that can be given without waiting: the job's end, which can't change
-    /// any more, or that there are too many requests.
-    fn immediate_answer(&self, watch_cache: &WatchCache, job_id: &str) -> Option<Answer> {
-        if let Some(end) = self.known_end(watch_cache, job_id) {
+    /// any more, or that there are too many requests. A cancellation that was not told
+    /// here has to be confirmed at the other controllers.
+    fn immediate_answer(&self, watch_cache: &WatchCache, question: &Question) -> Option<Answer> {
+        let job_id = &question.job_id;
+        let end = match question.kind {
+            QuestionKind::Cancellation => self.remembered_ends.get(job_id),
+            _ => self.known_end(watch_cache, job_id),
+        };
+        if let Some(end) = end {
             return Some(answers::ended(job_id, end));
         }
         (self.pending.len() >= MAX_PENDING).then(|| Unavailable::TooManyRequests.answer())
@@ -157,13 +166,16 @@
         &mut self,
         context: &AdmissionContext<'_>,
         request_id: u64,
+        node: &str,
         answer: Answer,
     ) -> Vec<AdmissionEffect> {
         let Some(request) = self.pending.get(&request_id) else {
             return Vec::new();
         };
-        if !matches!(request.awaited, Awaited::PeerAnswer { .. }) {
-            return Vec::new();
+        match request.awaited {
+            Awaited::PeerAnswer { .. } => {}
+            Awaited::PeerConfirmations { .. } => return self.confirmed_by_peer(context, request_id, node),
+            _ => return Vec::new(),
         }
         if let Some(end) = answers::end_told(&answer) {
             self.remembered_ends.remember(&request.question.job_id, end);
@@ -172,7 +184,7 @@
     }
 
     /// Gives up what waited too long; takes back what was forwarded in vain.
-    pub fn tick(&mut self, context: &AdmissionContext<'_>, in_reach: &dyn Fn(&str) -> bool) -> Vec<AdmissionEffect> {
+    pub fn tick(&mut self, context: &AdmissionContext<'_>) -> Vec<AdmissionEffect> {
         let mut effects = Vec::new();
         let request_ids: Vec<u64> = self.pending.keys().copied().collect();
         for request_id in request_ids {
@@ -181,8 +193,10 @@
             };
             if request.is_out_of_time(context.now) {
                 effects.extend(self.finish(context, request_id, Unavailable::NoAnswerInTime.answer()));
-            } else if request.is_forwarded_in_vain(context.now, in_reach) {
+            } else if request.is_forwarded_in_vain(context.now, context.peers) {
                 effects.extend(self.begin(context, request_id));
+            } else {
+                effects.extend(self.answer_if_confirmed(context, request_id));
             }
         }
         effects
--- a/src/admission/pending.rs
+++ b/src/admission/pending.rs
@@ -3,11 +3,14 @@
 use super::writes::JobWrite;
 use super::{AdmissionEffect, Question, QuestionKind, Requester};
 use crate::Millis;
+use crate::peers::PeerLinks;
+use crate::store::EndValue;
+use std::collections::BTreeSet;
 
 /// How long a submission or a cancellation may wait: users give up after 5 s.
 const WRITE_PATIENCE_MS: Millis = 3_500;
 /// How long a poll may wait: users give up after 2 s.
-const POLL_PATIENCE_MS: Millis = 1_700;
+pub(super) const POLL_PATIENCE_MS: Millis = 1_700;
 
 /// What a pending request waits for.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,6 +28,15 @@
         /// When the request is answered here instead.
         give_up_at: Millis,
     },
+    /// That other controllers know how the job ended.
+    PeerConfirmations {
+        /// How it ended.
+        end: EndValue,
+        /// Names of those that have not confirmed it yet.
+        missing: BTreeSet<String>,
+        /// When the user is told whether or not they have.
+        answer_at: Millis,
+    },
 }
 
 /// A request that was not answered yet.
@@ -71,9 +83,9 @@
     }
 
     /// Whether the other controller that it was forwarded to is silent or out of reach.
-    pub(super) fn is_forwarded_in_vain(&self, now: Millis, in_reach: &dyn Fn(&str) -> bool) -> bool {
+    pub(super) fn is_forwarded_in_vain(&self, now: Millis, peers: &PeerLinks) -> bool {
         match &self.awaited {
-            Awaited::PeerAnswer { node, give_up_at } => now >= *give_up_at || !in_reach(node),
+            Awaited::PeerAnswer { node, give_up_at } => now >= *give_up_at || !peers.is_in_reach(now, node),
             _ => false,
         }
     }
--- a/src/admission/writes.rs
+++ b/src/admission/writes.rs
@@ -6,8 +6,7 @@
 use super::answers::{self, Unavailable};
 use super::cancellations::CANCELLED;
 use super::pending::Awaited;
-use super::{Admission, AdmissionContext, AdmissionEffect, Question, QuestionKind};
-use crate::peers::Answer;
+use super::{Admission, AdmissionContext, AdmissionEffect};
 use crate::store::{EndValue, JobKey, StoreReply};
 use crate::wire::{Change, Condition, Transaction};
 use serde_json::json;
@@ -69,16 +68,18 @@
         };
         match reply {
             StoreReply::Committed { revision } => {
-                let answer = answer_to_write(&request.question);
-                if let Some(end) = write.end() {
-                    self.remembered_ends.remember(&request.question.job_id, end);
-                }
                 let mut effects = vec![AdmissionEffect::RecordJob {
                     id: request.question.job_id.clone(),
                     job: write.job.clone(),
                     revision: *revision,
                 }];
-                effects.extend(self.finish(context, request_id, answer));
+                effects.extend(match write.end() {
+                    Some(end) => self.confirm_at_peers(context, request_id, end),
+                    None => {
+                        let answer = answers::accepted(&request.question.job_id);
+                        self.finish(context, request_id, answer)
+                    }
+                });
                 effects
             }
             StoreReply::Conflict { .. } => {
@@ -96,11 +97,3 @@
         }
     }
 }
-
-/// What the user is told once the write has succeeded.
-fn answer_to_write(question: &Question) -> Answer {
-    match question.kind {
-        QuestionKind::Cancellation => answers::ended(&question.job_id, CANCELLED),
-        _ => answers::accepted(&question.job_id),
-    }
-}
--- a/src/controller/peer_messages.rs
+++ b/src/controller/peer_messages.rs
@@ -24,7 +24,7 @@
                 id,
                 user_request,
             } => self.on_forwarded_request(node, &shard, id, user_request),
-            Message::ForwardReply { id, answer } => self.on_forward_reply(id, answer),
+            Message::ForwardReply { id, answer } => self.on_forward_reply(&node, id, answer),
             Message::RelayReports { reports, .. } => self.on_relayed_reports(node, reports),
             Message::ReportReplies { answers } => self.on_report_replies(answers),
             Message::RequestLeaseExtension {
@@ -55,13 +55,14 @@
         let requester = Requester::Peer { node, id };
         // Never forwarded twice.
         let effects =
-            self.with_admission(|admission, context, _| admission.handle(context, requester, user_request, None));
+            self.with_admission(|admission, context| admission.handle(context, requester, user_request, None));
         self.apply_effects(effects);
     }
 
-    fn on_forward_reply(&mut self, id: u64, answer: Answer) {
+    fn on_forward_reply(&mut self, node: &str, id: u64, answer: Answer) {
         if let Some(pending_id) = self.forwarded_requests.take(id) {
-            let effects = self.with_admission(|admission, context, _| admission.forwarded(context, pending_id, answer));
+            let effects =
+                self.with_admission(|admission, context| admission.forwarded(context, pending_id, node, answer));
             self.apply_effects(effects);
         }
     }
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -2,16 +2,13 @@
 
 use super::{Controller, Output, Purpose, SHARD};
 use crate::admission::{Admission, AdmissionContext, AdmissionEffect, Requester, Verdict};
-use crate::peers::{Answer, Message, PeerLinks, UserRequest};
+use crate::peers::{Answer, Message, UserRequest};
 use crate::store::{JobKey, StoreRequest};
 use crate::wire::JobSpec;
 
 impl Controller {
     /// Lets admission act, with what its answers depend on.
-    pub(super) fn with_admission<T>(
-        &mut self,
-        act: impl FnOnce(&mut Admission, &AdmissionContext<'_>, &PeerLinks) -> T,
-    ) -> T {
+    pub(super) fn with_admission<T>(&mut self, act: impl FnOnce(&mut Admission, &AdmissionContext<'_>) -> T) -> T {
         let claim = self
             .election
             .is_acting_leader(self.now)
@@ -31,9 +28,10 @@
             watch_cache: &self.watch_cache,
             claim,
             verdict: &verdict,
+            peers: &self.peers,
             counts: &counts,
         };
-        act(&mut self.admission, &context, &self.peers)
+        act(&mut self.admission, &context)
     }
 
     pub(super) fn apply_effects(&mut self, effects: Vec<AdmissionEffect>) {
@@ -93,15 +91,13 @@
         let forward = self.forward_to(&user_request);
         let requester = Requester::User(request);
         let effects =
-            self.with_admission(|admission, context, _| admission.handle(context, requester, user_request, forward));
+            self.with_admission(|admission, context| admission.handle(context, requester, user_request, forward));
         self.apply_effects(effects);
     }
 
     /// Gives up what admission has waited for long enough.
     pub(super) fn tick_admission(&mut self) {
-        let effects = self.with_admission(|admission, context, peers| {
-            admission.tick(context, &|node| peers.is_in_reach(context.now, node))
-        });
+        let effects = self.with_admission(|admission, context| admission.tick(context));
         self.apply_effects(effects);
     }
 
--- a/src/controller/watching.rs
+++ b/src/controller/watching.rs
@@ -74,7 +74,7 @@
             self.watch_cache_read(sent);
         }
         if let Some(read) = admission_read {
-            let effects = self.with_admission(|admission, context, _| {
+            let effects = self.with_admission(|admission, context| {
                 if is_up_to_date {
                     admission.confirming_read_done(context, read)
                 } else {
