Tell a known end in one place, and test repeated cancellations at other controllers

A poll and a cancellation that meet a known end were told apart in two places, one of them a match within a match.

--- a/src/admission/confirmations.rs
+++ b/src/admission/confirmations.rs
@@ -3,7 +3,8 @@
 use super::answers::{self, Unavailable};
 use super::cancellations::cancellation;
 use super::pending::Awaited;
-use super::{Admission, AdmissionContext, AdmissionEffect, QuestionKind};
+use super::{Admission, AdmissionContext, AdmissionEffect, Question, QuestionKind};
+use crate::peers::Answer;
 use crate::store::{EndValue, StoreReply};
 
 /// The reads that bring the watch cache up to date, numbered in the order they are
@@ -83,13 +84,7 @@
             return Vec::new();
         };
         if let Some(end) = self.known_end(context.watch_cache, &request.question.job_id) {
-            return match request.question.kind {
-                QuestionKind::Cancellation => self.confirm_at_peers(context, request_id, end),
-                _ => {
-                    let answer = answers::ended(&request.question.job_id, end);
-                    self.finish(context, request_id, answer)
-                }
-            };
+            return self.tell_end(context, request_id, end);
         }
         let Some(request) = self.pending.get_mut(&request_id) else {
             return Vec::new();
@@ -108,6 +103,18 @@
         self.finish(context, request_id, answer)
     }
 
+    /// The job is known to have ended: its user is told, or soon will be.
+    fn tell_end(&mut self, context: &AdmissionContext<'_>, request_id: u64, end: EndValue) -> Vec<AdmissionEffect> {
+        let Some(request) = self.pending.get(&request_id) else {
+            return Vec::new();
+        };
+        if matches!(request.question.kind, QuestionKind::Cancellation) {
+            return self.confirm_at_peers(context, request_id, end);
+        }
+        let answer = answers::ended(&request.question.job_id, end);
+        self.finish(context, request_id, answer)
+    }
+
     /// The read of a job's end came back. The job key was seen missing before,
     /// so a missing end now means that no such job was ever accepted.
     pub fn end_read(
@@ -121,31 +128,33 @@
         };
         let answer = match reply {
             StoreReply::Found { value, .. } => match serde_json::from_value::<EndValue>(value.clone()) {
-                Ok(end) if matches!(request.question.kind, QuestionKind::Cancellation) => {
-                    return self.confirm_at_peers(context, request_id, end);
-                }
                 Ok(end) => {
                     self.remembered_ends.remember(&request.question.job_id, end);
-                    answers::ended(&request.question.job_id, end)
+                    return self.tell_end(context, request_id, end);
                 }
                 Err(error) => {
                     tracing::error!(job = request.question.job_id, %error, "an end key can't be read");
                     Unavailable::EndUnreadable.answer()
                 }
             },
-            // Accepted since it was looked for: its users may have been told so.
-            StoreReply::Missing if context.watch_cache.jobs().contains_key(&request.question.job_id) => {
-                Unavailable::ChangedMeanwhile.answer()
-            }
-            StoreReply::Missing => match &request.question.kind {
-                QuestionKind::RefusedSubmission(refusal) => refusal.answer(),
-                // It was there when the write was refused and is not now:
-                // the user's next try will tell.
-                QuestionKind::Submission(_) => Unavailable::ChangedMeanwhile.answer(),
-                QuestionKind::Poll | QuestionKind::Cancellation => answers::not_found(),
-            },
+            StoreReply::Missing => answer_without_end(context, &request.question),
             _ => Unavailable::StateServiceUnreachable.answer(),
         };
         self.finish(context, request_id, answer)
     }
 }
+
+/// Neither the job nor its end was found.
+fn answer_without_end(context: &AdmissionContext<'_>, question: &Question) -> Answer {
+    if context.watch_cache.jobs().contains_key(&question.job_id) {
+        // Accepted since it was looked for: its users may have been told so.
+        return Unavailable::ChangedMeanwhile.answer();
+    }
+    match &question.kind {
+        QuestionKind::RefusedSubmission(refusal) => refusal.answer(),
+        // It was there when the write was refused and is not now:
+        // the user's next try will tell.
+        QuestionKind::Submission(_) => Unavailable::ChangedMeanwhile.answer(),
+        QuestionKind::Poll | QuestionKind::Cancellation => answers::not_found(),
+    }
+}
--- a/src/controller/tests/ends_told.rs
+++ b/src/controller/tests/ends_told.rs
@@ -71,8 +71,8 @@
         self.ask(SUBMISSION, UserRequest::Submit(body))
     }
 
-    /// The leader answers the request that these outputs forward to it.
-    fn leader_answers(&mut self, forwarded: &[Output], standing: &str) -> Vec<Output> {
+    /// The peer answers the request that these outputs forward to it.
+    fn peer_answers(&mut self, forwarded: &[Output], standing: &str) -> Vec<Output> {
         let id = forwarded.iter().find_map(|output| match output {
             Output::Peer {
                 message: Message::ForwardRequest { id, .. },
@@ -85,14 +85,14 @@
             body: serde_json::json!({"id": JOB, "standing": standing}).to_string(),
             retry_after_s: None,
         };
-        let id = id.expect("forwarded to the leader");
+        let id = id.expect("forwarded to the peer");
         self.hear(Message::ForwardReply { id, answer })
     }
 
     /// A user cancels the job, which the leader confirms.
     fn cancel_through_leader(&mut self) {
         let forwarded = self.ask(CANCELLATION, UserRequest::Cancel(JOB.into()));
-        let told = self.leader_answers(&forwarded, "aborted");
+        let told = self.peer_answers(&forwarded, "aborted");
         assert_eq!(standing_told(&told, CANCELLATION).as_deref(), Some("aborted"));
     }
 
@@ -164,7 +164,7 @@
     let mut fixture = Fixture::new(page_with_job(), Some(3));
     let forwarded = fixture.submit();
     fixture.cancel_through_leader();
-    let told = fixture.leader_answers(&forwarded, "running");
+    let told = fixture.peer_answers(&forwarded, "running");
     assert_eq!(standing_told(&told, SUBMISSION).as_deref(), Some("aborted"));
 }
 
@@ -210,7 +210,31 @@
     let mut fixture = Fixture::new(page_with_job(), None);
     let committed = fixture.commit_cancellation();
     assert_eq!(answer_to(&committed, CANCELLATION), None);
-    let told = fixture.leader_answers(&committed, "aborted");
+    let told = fixture.peer_answers(&committed, "aborted");
+    assert_eq!(standing_told(&told, CANCELLATION).as_deref(), Some("aborted"));
+}
+
+/// A repeated cancellation may reach a controller that did not confirm the first: while
+/// the job's key is there, and after it was cleaned up.
+#[test]
+fn a_cancellation_confirmed_elsewhere_is_told_in_the_same_way() {
+    let mut ended = cancelled_job();
+    ended.spec.id = JOB.into();
+    let page = watched(format!("live/pool/job/{JOB}"), serde_json::json!(ended));
+    let mut fixture = Fixture::new(page, None);
+    let read = last_store_call(&fixture.ask(CANCELLATION, UserRequest::Cancel(JOB.into())));
+    let confirmed = fixture.reply(read, nothing_changed());
+    assert_eq!(answer_to(&confirmed, CANCELLATION), None);
+    let told = fixture.peer_answers(&confirmed, "aborted");
+    assert_eq!(standing_told(&told, CANCELLATION).as_deref(), Some("aborted"));
+
+    let mut fixture = Fixture::new(page_without_job(), None);
+    let read = last_store_call(&fixture.ask(CANCELLATION, UserRequest::Cancel(JOB.into())));
+    let read_of_end = last_store_call(&fixture.reply(read, nothing_changed()));
+    let (value, version) = (serde_json::json!({"state": "aborted"}), 8);
+    let found = fixture.reply(read_of_end, StoreReply::Found { value, version });
+    assert_eq!(answer_to(&found, CANCELLATION), None);
+    let told = fixture.peer_answers(&found, "aborted");
     assert_eq!(standing_told(&told, CANCELLATION).as_deref(), Some("aborted"));
 }
 
