--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -419,7 +419,7 @@
         nodes = list(self.world.controllers)
         at, client = random.randrange(len(nodes)), None
         last_sent = -100.0
-        while True:
+        while not self.removed:
             wait = last_sent + REPORT_S * random.uniform(0.75, 1.25) - time.monotonic()
             try:
                 await asyncio.wait_for(self.changed.wait(), max(wait, 0.0))
@@ -463,7 +463,7 @@
 
     def take_answer(self, answer, sent, session):
         token = answer.get("gavel")
-        if token is None or token < self.token or session != self.session:
+        if token is None or token < self.token or session != self.session or self.removed:
             return
         self.raise_token(token)
         self.renewed = max(self.renewed, sent)
@@ -478,6 +478,8 @@
                 self.changed.set()
 
     async def handle(self, method, path, body):
+        if self.removed:
+            raise ConnectionError
         if method == "GET" and path == "/status":
             return 200, self.report()
         if method != "POST" or path != "/do":
