--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -5,6 +5,7 @@
 library is used.
 """
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -24,11 +25,20 @@
 STATE_RPS, STATE_WRITE_RPS, CLOUD_RPS = 200.0, 80.0, 4.0
 
 
+def end_with_parent():
+    """Called in a new process: the kernel ends it when the process that started it ends."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 def free_port(used=set()):
+    """Returns a port that nothing listens on, below those that outgoing connections are given."""
     while True:
+        port = random.SystemRandom().randrange(15_000, 32_000)
         with socket.socket() as s:
-            s.bind(("127.0.0.1", 0))
-            port = s.getsockname()[1]
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
         if port not in used:
             used.add(port)
             return port
@@ -623,7 +633,7 @@
         log = open(os.path.join(self.world.folder, f"{self.name}.log"), "a")
         command = self.world.run_command + [self.settings]
         level = os.environ.get("CONTROLLER_LOG", "info")
-        self.process = subprocess.Popen(command, cwd=ROOT, stderr=log, stdout=log,
+        self.process = subprocess.Popen(command, cwd=ROOT, stderr=log, stdout=log, preexec_fn=end_with_parent,
                                         env={**os.environ, "LOG_LEVEL": level, "NO_COLOR": "1"})
         self.world.note(f"{self.name}: started")
 
@@ -765,7 +775,7 @@
     """The case could not be brought about."""
 
 
-def main(record, capacity, case):
+def main(record, capacity, case, limit_s=116.0):
     """Runs a case. `case(world)` returns a text that says how the rule was broken, or None."""
     async def run():
         world = World(record, capacity)
@@ -782,7 +792,7 @@
 
     loop = asyncio.new_event_loop()
     try:
-        work = loop.create_task(asyncio.wait_for(run(), 116.0))
+        work = loop.create_task(asyncio.wait_for(run(), limit_s))
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, work.cancel)
         world, broken = loop.run_until_complete(work)
@@ -795,4 +805,4 @@
     world.note(verdict)
     print(verdict)
     sys.stdout.flush()
-    os._exit(1 if broken else 0)
+    os._exit(11 if broken else 0)
