Review: stand-ins keep the ports that they chose

Cause: worlds that ran at once could choose the same port, and one then commanded the other's machine. Change: each port is bound from its choice on.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -30,18 +30,17 @@
     ctypes.CDLL(None).prctl(1, signal.SIGKILL)
 
 
-def free_port(used=set()):
-    """Returns a port that nothing listens on, below those that outgoing connections are given."""
-    while True:
-        port = random.SystemRandom().randrange(15_000, 32_000)
-        with socket.socket() as s:
-            try:
-                s.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in used:
-            used.add(port)
-            return port
+RESERVED = []
+
+
+def free_port():
+    """Returns a port and keeps it: no other program is given it, and a server may still listen on it."""
+    reserved = socket.socket()
+    reserved.bind(("127.0.0.1", 0))
+    # On Linux a socket with this option may listen where others with it are bound and don't listen.
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    RESERVED.append(reserved)
+    return reserved.getsockname()[1]
 
 
 def dumps(value):
