Review: machines that are returned can be rented again

Cause: the stand-in of the cloud never gave a returned machine's place to another, so that random faults left jobs that were bound to it.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -326,12 +326,18 @@
             for name in json.loads(body)["stalls"]:
                 if name in self.machines:
                     self.world.note(f"cloud: {name} deleted")
-                    self.machines.pop(name)["worker"].remove()
+                    self.remove(name)
             return 200, {}
         if path.startswith("/machines"):
             return self.list(path)
         return 400, {"error": "malformed"}
 
+    def remove(self, name):
+        """Ends a machine, which may be rented again."""
+        worker = self.machines.pop(name)["worker"]
+        self.capacity[worker.rig, worker.yard, worker.loaner] += 1
+        worker.remove()
+
     def rent(self, request):
         slip = request["hireSlip"]
         if slip in self.answers:
--- a/review/trials/random_faults.py
+++ b/review/trials/random_faults.py
@@ -212,7 +212,7 @@
         elif kind == "take":
             for machine in draw.sample([m for m in machines if m.loaner] or machines, min(1, len(machines))):
                 world.note(f"cloud: {machine.name} is taken back")
-                world.cloud.machines.pop(machine.name)["worker"].remove()
+                world.cloud.remove(machine.name)
 
     # Users.
 
