Forget an attempt only once no late answer can start it again

It had failed on one and been moved to another, and started again on the first.

Cause: a start is sent directly and in the answer to the next report. The direct one ran, failed, was closed, moved and forgotten while the answer was held up; the worker then took the start in the answer for a new attempt. Forgetting asked only for direct starts. The time of a start in an answer was kept in the attempt, so it was lost when the attempt was closed.

Change: starts in answers are noted with the machine (`AnsweredStarts`), and an end is forgotten only once none of that attempt can be executed: the worker has sent another report on its own, began a new agent epoch, holds a higher token with the command itself, or 4.5 s have passed. The same record now decides on absence. A related path: a reply to direct commands that was made before a held answer arrived, and came after the answer had expired, counted as proof that the start was dropped. Such a reply now carries when its commands were sent.

`ReportPath::CommandReply` has a field now, so tests that name it give a time.

--- a/benches/costs/main.rs
+++ b/benches/costs/main.rs
@@ -68,7 +68,11 @@
             tasks: Vec::new(),
             ..report(machine, 1)
         };
-        shard.merge_report(0, &report_without_tasks, ReportPath::CommandReply);
+        shard.merge_report(
+            0,
+            &report_without_tasks,
+            ReportPath::CommandReply { commands_sent_at: 0 },
+        );
     }
     for ix in shard.workers.machines.indices() {
         if let Some(machine) = shard.workers.machines.get_mut(ix) {
--- a/src/controller/direct_commands.rs
+++ b/src/controller/direct_commands.rs
@@ -119,7 +119,8 @@
         };
         shard.delivery_ended(self.now, &direct_call, &reply);
         if let WorkerReply::Executed(report) | WorkerReply::Refused(report) = reply {
-            self.merge_worker_report(&report, ReportPath::CommandReply);
+            let commands_sent_at = direct_call.sent_at;
+            self.merge_worker_report(&report, ReportPath::CommandReply { commands_sent_at });
         }
     }
 }
--- a/src/controller/shard/reports.rs
+++ b/src/controller/shard/reports.rs
@@ -19,7 +19,7 @@
             // Once verified, it is used, or decommissioned when idle, like any other.
             None => self.add_unverified_machine(now, report),
         };
-        if path == ReportPath::CommandReply {
+        if path.is_command_reply() {
             // Only a machine that exists replies to a command.
             self.add_to_inventory(ix);
         }
@@ -43,15 +43,14 @@
         merged.outcome
     }
 
-    /// Returns the commands for the answer to a machine's report, and records which effects the
-    /// next report must show.
+    /// Returns the commands for the answer to a machine's report, and records the start commands
+    /// among them and which effects the next report must show.
     pub fn commands_for_answer(&mut self, now: Millis, ix: MachineIx) -> Vec<Command> {
         self.workers.commands_for_answer(now, self.term, ix, &self.jobs)
     }
 
-    /// Returns the commands that a machine's worker should receive now, in order, and records when
-    /// start commands were last sent.
-    pub fn commands(&mut self, now: Millis, ix: MachineIx) -> Vec<Command> {
+    /// Returns the commands that a machine's worker should receive now, in order.
+    pub fn commands(&self, now: Millis, ix: MachineIx) -> Vec<Command> {
         self.workers.commands(now, self.term, ix, &self.jobs)
     }
 
--- a/src/controller/shard/tests/answers.rs
+++ b/src/controller/shard/tests/answers.rs
@@ -67,7 +67,11 @@
     assert!(!machine_of(&shard, machine).usable(10));
     shard.commands_for_answer(10, machine);
     assert!(shard.workers.delivery_due.contains(&machine));
-    shard.merge_report(20, &report(2, 2, 5, Vec::new()), ReportPath::CommandReply);
+    shard.merge_report(
+        20,
+        &report(2, 2, 5, Vec::new()),
+        ReportPath::CommandReply { commands_sent_at: 20 },
+    );
     assert!(machine_of(&shard, machine).usable(20));
     shard.commands_for_answer(30, machine);
     assert!(!shard.workers.delivery_due.contains(&machine));
--- a/src/controller/shard/tests/attempts.rs
+++ b/src/controller/shard/tests/attempts.rs
@@ -39,7 +39,11 @@
         ..report(1, seq, 5, tasks)
     };
     for name in ["host-1", "host-2"] {
-        shard.merge_report(0, &report_of(name, 1, Vec::new()), ReportPath::CommandReply);
+        shard.merge_report(
+            0,
+            &report_of(name, 1, Vec::new()),
+            ReportPath::CommandReply { commands_sent_at: 0 },
+        );
         let machine = shard.workers.machines.find(name).expect("known machine");
         let machine_state = machine_of_mut(&mut shard, machine);
         machine_state.is_persisted = true;
@@ -118,7 +122,7 @@
             machine: name.into(),
             ..report(1, 1, 5, Vec::new())
         };
-        shard.merge_report(0, &first_report, ReportPath::CommandReply);
+        shard.merge_report(0, &first_report, ReportPath::CommandReply { commands_sent_at: 0 });
         let machine = shard.workers.machines.find(name).expect("known machine");
         let machine_state = machine_of_mut(&mut shard, machine);
         machine_state.is_persisted = true;
--- a/src/controller/shard/tests/commands.rs
+++ b/src/controller/shard/tests/commands.rs
@@ -1,6 +1,8 @@
 //! Commands sent to workers.
 
 use super::worker_fixture::*;
+use crate::controller::Shard;
+use crate::ids::MachineIx;
 use crate::wire::{Command, ExitReason, TaskReport, TaskState};
 use crate::workers::{MAX_LISTED_EXITED_TASKS, ReportPath};
 
@@ -20,6 +22,50 @@
     assert!(shard.commands(10, machine).is_empty());
 }
 
+/// Returns a shard whose worker was given a start command in the answer to a report at 1,000 ms.
+/// The reply to direct commands that were sent 100 ms later shows that the attempt has failed.
+fn shard_with_a_failed_attempt_and_its_start_in_an_answer() -> (Shard, MachineIx) {
+    let (mut shard, machine) = shard_with_worker();
+    let answer = shard.commands_for_answer(1_000, machine);
+    assert!(matches!(answer[..], [Command::Start { .. }]));
+    let failed = vec![task_report(TaskState::Exited, Some(ExitReason::Error))];
+    let path = ReportPath::CommandReply {
+        commands_sent_at: 1_100,
+    };
+    shard.merge_report(1_200, &report(1, 2, 5, failed), path);
+    let job = shard.jobs.table.find("j-1").expect("known job");
+    shard.jobs.table.get_mut(job).expect("known job").chunks[0].discard_changes();
+    (shard, machine)
+}
+
+/// Guards against a task that runs on two machines. An attempt that was started directly failed
+/// and was forgotten, while the answer to a report with the same start command was held up: the
+/// answer started it again beside its successor (see docs/incidents/start-in-a-late-answer.md).
+#[test]
+fn an_exited_attempt_is_not_forgotten_while_a_late_answer_may_start_it_again() {
+    let (shard, machine) = shard_with_a_failed_attempt_and_its_start_in_an_answer();
+    assert_eq!(open_attempt_count(&shard), 0);
+    assert!(shard.commands(1_300, machine).is_empty());
+    assert!(shard.commands(5_500, machine).is_empty());
+    // The worker drops the answer to a report after 4 s.
+    assert!(matches!(shard.commands(5_501, machine)[..], [Command::Forget { .. }]));
+}
+
+/// Guards against reports that list exited tasks for longer than needed.
+#[test]
+fn an_exited_attempt_is_forgotten_once_no_answer_can_start_it_again() {
+    // The worker has one report in flight, so it has settled the answer to the earlier one.
+    let (mut shard, machine) = shard_with_a_failed_attempt_and_its_start_in_an_answer();
+    let failed = vec![task_report(TaskState::Exited, Some(ExitReason::Error))];
+    shard.merge_report(1_300, &report(1, 3, 5, failed), ReportPath::Heartbeat);
+    let commands = shard.commands_for_answer(1_300, machine);
+    assert!(matches!(commands[..], [Command::Forget { .. }]));
+    // The forget command carries the higher fencing token, with which the worker drops the answer.
+    let (mut shard, machine) = shard_with_a_failed_attempt_and_its_start_in_an_answer();
+    shard.term = 6;
+    assert!(matches!(shard.commands(1_300, machine)[..], [Command::Forget { .. }]));
+}
+
 /// Guards against reports that grow until the end of the term: a worker can't forget exited tasks
 /// while a start command of the term may still arrive.
 #[test]
--- a/src/controller/shard/tests/reports.rs
+++ b/src/controller/shard/tests/reports.rs
@@ -5,7 +5,7 @@
 use crate::controller::Shard;
 use crate::store::Keys;
 use crate::wire::{Change, Command, Condition, ExitReason, Report, TaskState};
-use crate::workers::{MergeOutcome, ReportPath};
+use crate::workers::{MergeOutcome, RecordState, ReportPath};
 
 const MINUTE_MS: Millis = 60_000;
 
@@ -71,6 +71,28 @@
     );
 }
 
+/// Guards against closing an attempt that runs: the reply to direct commands was made before the
+/// worker received the answer that started the attempt, and arrived after the answer had expired.
+#[test]
+fn a_late_command_reply_does_not_show_that_an_answered_start_was_dropped() {
+    let (mut shard, machine) = shard_with_worker();
+    shard.commands_for_answer(1_000, machine);
+    let attempt = machine_of(&shard, machine).open[0];
+    shard
+        .workers
+        .attempts
+        .get_mut(attempt)
+        .expect("open attempt")
+        .stop_grace_s = Some(0.0);
+    let reply_to = |commands_sent_at| ReportPath::CommandReply { commands_sent_at };
+    shard.merge_report(6_000, &report(1, 2, 5, Vec::new()), reply_to(1_100));
+    let record = shard.workers.attempts.get(attempt).expect("open attempt").record;
+    assert_eq!(record, RecordState::Written);
+    // These commands reached the worker after it had dropped the answer.
+    shard.merge_report(MINUTE_MS, &report(1, 3, 5, Vec::new()), reply_to(5_600));
+    assert_closed_once_its_record_is_removed(&mut shard);
+}
+
 /// Guards against raising the term again and again after a leader change, where each raise may
 /// require the leader to reload the shard.
 #[test]
@@ -157,7 +179,11 @@
     assert!(!usable(&shard, ix, 10));
     // A direct command is sent to it, and the reply proves that the machine exists.
     assert!(shard.workers.delivery_due.contains(&ix));
-    shard.merge_report(20, &report_of_host_9(8), ReportPath::CommandReply);
+    shard.merge_report(
+        20,
+        &report_of_host_9(8),
+        ReportPath::CommandReply { commands_sent_at: 20 },
+    );
     assert!(machine_of(&shard, ix).group.is_some());
 }
 
--- a/src/controller/shard/tests/worker_fixture.rs
+++ b/src/controller/shard/tests/worker_fixture.rs
@@ -16,7 +16,11 @@
 /// the record of the first one is written.
 pub fn shard_with_worker_and_tasks(tasks: u32) -> (Shard, MachineIx) {
     let mut shard = shard_with(5, &[("small", 8.0)], tasks, false);
-    shard.merge_report(0, &report(1, 1, 5, Vec::new()), ReportPath::CommandReply);
+    shard.merge_report(
+        0,
+        &report(1, 1, 5, Vec::new()),
+        ReportPath::CommandReply { commands_sent_at: 0 },
+    );
     let machine = shard.workers.machines.find("host-1").expect("known machine");
     let machine_state = machine_of_mut(&mut shard, machine);
     machine_state.is_persisted = true;
--- a/src/workers/absence.rs
+++ b/src/workers/absence.rs
@@ -1,6 +1,6 @@
 //! Handling of open attempts that their machine's newest report does not list.
 
-use super::{Attempt, Machine, MergedReport, Outcome, ReceivedReport, RecordState, Workers};
+use super::{Attempt, Machine, MergedReport, Outcome, ReceivedReport, RecordState, ReportPath, Workers, task_name};
 use crate::ids::{AttemptIx, ChunkId, MachineIx};
 use crate::pipeline::Jobs;
 
@@ -39,7 +39,7 @@
                 continue;
             };
             start_is_missing |= attempt.start_in_last_answer && attempt.agent_epoch == received.report.agent_epoch;
-            match attempt.classify_absence(machine, received) {
+            match attempt.classify_absence(machine, received, jobs) {
                 Absence::Inconclusive => {}
                 Absence::EpochEnded => merged.end(attempt_ix, Outcome::Lost),
                 Absence::NeverStarts => attempt.withdraw_record(attempt_ix, jobs, merged),
@@ -52,13 +52,13 @@
 
 impl Attempt {
     /// Records that a report does not list the attempt, and returns what follows from it.
-    fn classify_absence(&mut self, machine: &Machine, received: ReceivedReport<'_>) -> Absence {
+    fn classify_absence(&mut self, machine: &Machine, received: ReceivedReport<'_>, jobs: &Jobs) -> Absence {
         if self.agent_epoch < received.report.agent_epoch {
             return Absence::EpochEnded;
         }
         self.clear_observed_state();
         let is_unwanted = self.stop_grace_s.is_some() && self.record.is_written();
-        if !is_unwanted || !self.has_start_in_answer_expired(received.now) {
+        if !is_unwanted || machine.may_receive_answered_start(self, received, jobs) {
             return Absence::Inconclusive;
         }
         if !machine.may_receive_direct_start(received.report.fencing_token) {
@@ -91,6 +91,22 @@
 }
 
 impl Machine {
+    /// Whether a start command of this attempt in the answer to an earlier report may be executed
+    /// after the worker made the received one.
+    fn may_receive_answered_start(&self, attempt: &Attempt, received: ReceivedReport<'_>, jobs: &Jobs) -> bool {
+        let ReportPath::CommandReply { commands_sent_at } = received.path else {
+            // The worker had executed or dropped the answers to all its earlier reports.
+            return false;
+        };
+        let Some(job) = jobs.table.get(attempt.job) else {
+            return false;
+        };
+        let task = task_name(&job.id, attempt.task);
+        let fencing_token = received.report.fencing_token;
+        self.answered_starts
+            .may_be_executed(&task, attempt.number, commands_sent_at, fencing_token)
+    }
+
     /// Whether a start command that was sent directly may still arrive and be accepted by a
     /// worker whose highest fencing token is `fencing_token`.
     fn may_receive_direct_start(&self, fencing_token: u64) -> bool {
--- a/src/workers/attempt.rs
+++ b/src/workers/attempt.rs
@@ -4,10 +4,6 @@
 use crate::ids::{AttemptIx, JobIx, MachineIx};
 use crate::wire::{ExitReason, TaskState};
 
-/// How long a command in the answer to a report may still be carried out. A worker discards
-/// the answer to its report after 4 s.
-const ANSWER_LIFETIME_MS: Millis = 4_500;
-
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -139,8 +135,6 @@
     /// When a report first listed the attempt as running; `None` before that, and again once a
     /// report no longer lists the attempt.
     pub running_since: Option<Millis>,
-    /// When a start command was last sent, in the answer to a report or directly.
-    pub start_sent_at: Option<Millis>,
     /// Whether a start command was due in the answer to the machine's last report.
     pub start_in_last_answer: bool,
     /// Seconds that the task may take to save its progress, if the attempt is to stop; `None`
@@ -160,7 +154,6 @@
             record: RecordState::Planned,
             observed_state: None,
             running_since: None,
-            start_sent_at: None,
             start_in_last_answer: false,
             stop_grace_s: None,
         }
@@ -192,12 +185,6 @@
         self.running_since = None;
     }
 
-    /// Whether no start command sent in the answer to a report can still be carried out. Direct
-    /// start commands are tracked by the machine.
-    pub(super) fn has_start_in_answer_expired(&self, now: Millis) -> bool {
-        self.start_sent_at.is_none_or(|sent| now > sent + ANSWER_LIFETIME_MS)
-    }
-
     /// Returns for how many seconds reports have listed the attempt as running.
     pub(super) fn observed_running_s(&self, now: Millis) -> f64 {
         self.running_since.map_or(0.0, |since| (now - since) as f64 / 1000.0)
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -11,16 +11,15 @@
 const MAX_COMMANDS_PER_MESSAGE: usize = 400;
 
 impl Workers {
-    /// Returns the commands that a machine's worker should receive now, in order, and records
-    /// when start commands were last sent.
-    pub fn commands(&mut self, now: Millis, term: u64, ix: MachineIx, jobs: &Jobs) -> Vec<Command> {
+    /// Returns the commands that a machine's worker should receive now, in order.
+    pub fn commands(&self, now: Millis, term: u64, ix: MachineIx, jobs: &Jobs) -> Vec<Command> {
         let Some(machine) = self.machines.get(ix) else {
             return Vec::new();
         };
         let mut commands = Vec::new();
-        machine.push_unmatched_commands(term, jobs, &mut commands);
+        machine.push_unmatched_commands(now, term, jobs, &mut commands);
         for &open in &machine.open {
-            let Some(attempt) = self.attempts.get_mut(open) else {
+            let Some(attempt) = self.attempts.get(open) else {
                 continue;
             };
             if !attempt.record.is_written() || attempt.agent_epoch != machine.agent_epoch {
@@ -29,12 +28,7 @@
             let Some(job) = jobs.table.get(attempt.job) else {
                 continue;
             };
-            if let Some(command) = command_for(&job.id, attempt) {
-                if matches!(command, Command::Start { .. }) {
-                    attempt.start_sent_at = Some(now);
-                }
-                commands.push(command);
-            }
+            commands.extend(command_for(&job.id, attempt));
         }
         // Stop commands come first, so that the limit never delays them.
         commands.sort_by_key(|command| !matches!(command, Command::Stop { .. }));
@@ -42,14 +36,15 @@
         commands
     }
 
-    /// Returns the commands for the answer to a report, and records which effects the next
-    /// report must show.
+    /// Returns the commands for the answer to a report, and records the start commands among them
+    /// and which effects the next report must show.
     pub fn commands_for_answer(&mut self, now: Millis, term: u64, ix: MachineIx, jobs: &Jobs) -> Vec<Command> {
         let commands = self.commands(now, term, ix, jobs);
         let Some(machine) = self.machines.get_mut(ix) else {
             return commands;
         };
         machine.answered_at = now;
+        machine.answered_starts.record(now, term, &commands);
         machine.expects_effect = machine.fencing_token < term;
         for &open in &machine.open {
             if let Some(attempt) = self.attempts.get_mut(open) {
@@ -69,18 +64,22 @@
 impl Machine {
     /// Adds the commands for tasks that have exited or that match no open attempt: stop
     /// commands for running ones, and forget commands for exited ones once that is safe.
-    fn push_unmatched_commands(&self, term: u64, jobs: &Jobs, commands: &mut Vec<Command>) {
-        // A start command that arrives after the worker forgot the attempt would run it again.
-        let is_forget_safe = !self.has_unconfirmed_start_of(term) && !self.delivery.has_starts_in_flight();
+    fn push_unmatched_commands(&self, now: Millis, term: u64, jobs: &Jobs, commands: &mut Vec<Command>) {
+        let may_receive_direct_start = self.has_unconfirmed_start_of(term) || self.delivery.has_starts_in_flight();
         for unmatched in &self.unmatched_tasks {
             let (task, attempt) = (unmatched.task.clone(), unmatched.attempt);
+            // A start command that is executed after the worker forgot the attempt would run it
+            // again. The forget command carries the fencing token of this term, so that no start
+            // of an earlier term is executed after it.
+            let may_start_again =
+                may_receive_direct_start || self.answered_starts.may_be_executed(&task, attempt, now, term);
             if unmatched.state != TaskState::Exited {
                 commands.push(Command::Stop {
                     task,
                     attempt,
                     grace_s: 0.0,
                 });
-            } else if is_forget_safe && is_outcome_written(jobs, &unmatched.task) {
+            } else if !may_start_again && is_outcome_written(jobs, &unmatched.task) {
                 commands.push(Command::Forget { task, attempt });
             }
         }
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -1,6 +1,6 @@
 //! State of one machine and its worker, as known from its reports and the cloud's lists.
 
-use super::{CloudListing, Delivery, FailureRecord};
+use super::{AnsweredStarts, CloudListing, Delivery, FailureRecord};
 use crate::Millis;
 use crate::ids::{AttemptIx, GroupIx, ImageIx, TypeIx, ZoneIx};
 use crate::resources::Offer;
@@ -66,6 +66,8 @@
     /// or a former leader may have sent it; 0 if there is none. The worker rejects the command
     /// once it has a higher fencing token or a new agent epoch.
     pub unconfirmed_start_term: u64,
+    /// Start commands in answers that the worker may still execute.
+    pub answered_starts: AnsweredStarts,
     /// When the cloud will reclaim the machine, if the cloud has given notice.
     pub spot_reclaim_at: Option<Millis>,
     /// Whether the last health check found the machine unresponsive. It does not count as
@@ -120,6 +122,7 @@
             missed_answers: 0,
             answered_at: now,
             unconfirmed_start_term: 0,
+            answered_starts: AnsweredStarts::default(),
             spot_reclaim_at: None,
             marked_unresponsive: false,
             decommissioned: false,
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -57,6 +57,9 @@
         machine.agent_epoch = report.agent_epoch;
         machine.seq = report.seq;
         machine.fencing_token = machine.fencing_token.max(report.fencing_token);
+        if is_new_epoch || received.path == ReportPath::Heartbeat {
+            machine.answered_starts.settle();
+        }
         if received.is_from_current_term() {
             self.capacity_changed |= machine.last_report_at.is_none();
             machine.note_report_from_current_term(received.now, report_due);
@@ -106,7 +109,7 @@
         let Some(machine) = self.machines.get_mut(ix) else {
             return;
         };
-        if path == ReportPath::CommandReply || std::mem::take(&mut machine.expects_effect) {
+        if path.is_command_reply() || std::mem::take(&mut machine.expects_effect) {
             machine.missed_answers = match path {
                 ReportPath::Heartbeat if answer_had_no_effect => machine.missed_answers + 1,
                 _ => 0,
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -18,6 +18,7 @@
 //! which the shard applies.
 
 mod absence;
+mod answered_starts;
 mod attempt;
 mod attempts;
 mod attribution;
@@ -32,6 +33,7 @@
 mod report;
 mod task_name;
 
+pub use answered_starts::AnsweredStarts;
 pub use attempt::{Attempt, CommittedRecord, EndedAttempt, Outcome, RecordState};
 pub use attempts::Attempts;
 pub use attribution::FailureRecord;
--- a/src/workers/report.rs
+++ b/src/workers/report.rs
@@ -10,8 +10,19 @@
 pub enum ReportPath {
     /// The worker sent it on its own. It may be a copy that is delayed by seconds or minutes.
     Heartbeat,
-    /// The worker sent it in reply to a direct command of this term.
-    CommandReply,
+    /// The worker sent it in reply to direct commands of this term.
+    CommandReply {
+        /// When the leader sent the commands. The worker made the report after that, and possibly
+        /// seconds before the reply arrived.
+        commands_sent_at: Millis,
+    },
+}
+
+impl ReportPath {
+    /// Whether the report is the reply to direct commands.
+    pub fn is_command_reply(self) -> bool {
+        matches!(self, ReportPath::CommandReply { .. })
+    }
 }
 
 /// A report with the circumstances in which this leader received it.
@@ -31,7 +42,7 @@
     /// Whether the report was certainly sent in the current term and is no delayed copy of an
     /// earlier one.
     pub fn is_from_current_term(&self) -> bool {
-        self.path == ReportPath::CommandReply || self.report.fencing_token == self.term
+        self.path.is_command_reply() || self.report.fencing_token == self.term
     }
 }
 
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -88,7 +88,11 @@
 fn add_machines(shard: &mut Shard) {
     for number in 0..MACHINES {
         shard.add_machine(0, &machine_name(number), "pantry-rack", "north", true);
-        shard.merge_report(0, &report(number, Vec::new()), ReportPath::CommandReply);
+        shard.merge_report(
+            0,
+            &report(number, Vec::new()),
+            ReportPath::CommandReply { commands_sent_at: 0 },
+        );
     }
     let machines = shard.workers.machines.indices();
     for ix in machines {
--- a/tests/rules/meetings/unreachable_machines.rs
+++ b/tests/rules/meetings/unreachable_machines.rs
@@ -84,6 +84,32 @@
     faults
 }
 
+/// Answers to reports arrive seconds late while one-task jobs are submitted and cancelled and
+/// machines fail their tasks. The start commands in these answers outlive the attempts that were
+/// started directly; with seed 56, a worker that had forgotten such an attempt ran it beside its
+/// successor (see docs/incidents/start-in-a-late-answer.md).
+#[test]
+fn answers_to_reports_are_delayed_while_tasks_fail_and_are_cancelled() {
+    for seed in seeds(&[56]) {
+        let mut rng = StdRng::seed_from_u64(8_100 + seed);
+        let mut faults: Faults = vec![(20_000, Fault::DelayedAnswers { ms: 60_000 })];
+        for at in (25_000..75_000).step_by(5_000) {
+            let at = at + rng.random_range(0..4_000);
+            let ms = rng.random_range(500..4_000);
+            faults.push((at, Fault::AllMachinesFailTasks { ms }));
+            faults.push((at + rng.random_range(0..4_000), Fault::CancelRunningJobs { hang_ms: 0 }));
+        }
+        let mut world = World::new(seed, 3, 0, faults.clone());
+        for index in 0..200 {
+            let mut spec = World::plain_spec();
+            spec.team = if index % 2 == 0 { "red" } else { "blue" }.into();
+            spec.cpus = 0.5;
+            world.submit(15_000 + index * 300, spec);
+        }
+        run_to_completion(world, seed, &faults);
+    }
+}
+
 /// Machines reach no controller while direct commands reach them. Their leases expire although
 /// they answer the commands.
 #[test]
--- a/tests/rules/world/fault.rs
+++ b/tests/rules/world/fault.rs
@@ -72,6 +72,9 @@
     /// Half of the direct commands to reachable machines get no answer, and half of these arrive 1
     /// to 9 s late.
     DelayedCommands { ms: u64 },
+    /// Half of the answers to reports arrive up to 3.9 s late, when their workers still wait for
+    /// them.
+    DelayedAnswers { ms: u64 },
     /// Users cancel all running jobs within 200 ms; the machines of some of them hang for
     /// `hang_ms`.
     CancelRunningJobs { hang_ms: u64 },
@@ -128,6 +131,7 @@
             // Delayed transactions are applied up to 12 s late, delayed commands arrive up to 9 s
             // late.
             Fault::DelayedTransactions { ms } | Fault::DelayedCommands { ms } => ms + 12_000,
+            Fault::DelayedAnswers { ms } => ms + 4_000,
             Fault::CancelRunningJobs { hang_ms } => *hang_ms,
             _ => 5_000,
         }
--- a/tests/rules/world/fault_injection.rs
+++ b/tests/rules/world/fault_injection.rs
@@ -55,6 +55,7 @@
             Fault::SouthIsolated { ms } => self.ongoing_faults.south_isolated_until = now + ms,
             Fault::DelayedDuplicateReports { ms } => self.ongoing_faults.duplicate_reports_until = now + ms,
             Fault::DelayedCommands { ms } => self.ongoing_faults.delayed_commands_until = now + ms,
+            Fault::DelayedAnswers { ms } => self.ongoing_faults.delayed_answers_until = now + ms,
             Fault::CancelAtEnd { ms } => self.ongoing_faults.cancel_at_end_until = now + ms,
             Fault::InvalidRequests { ms } => self.ongoing_faults.invalid_requests_until = now + ms,
             other => unreachable!("{other:?} is not a fault of a service, the network or the users"),
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -111,6 +111,8 @@
     delayed_transactions_until: u64,
     /// Until when half of the direct commands get no answer and some of these arrive late.
     delayed_commands_until: u64,
+    /// Until when half of the answers to reports arrive late.
+    delayed_answers_until: u64,
     /// Until when half of the jobs are cancelled just after their last task ends.
     cancel_at_end_until: u64,
     /// Until when users send invalid requests.
--- a/tests/rules/world/network.rs
+++ b/tests/rules/world/network.rs
@@ -81,12 +81,22 @@
                         .worker_cut_until
                         .max(self.partitioned_from_machine_until(node, &machine)) =>
             {
+                let delay = delay + self.draw_answer_delay_ms();
                 self.schedule(self.now + delay, ScheduledEvent::ReportAnswered { machine, id, answer });
             }
             _ => {}
         }
     }
 
+    /// Draws by how much an answer to a report is late, in addition to the network delay.
+    fn draw_answer_delay_ms(&mut self) -> u64 {
+        if self.now < self.ongoing_faults.delayed_answers_until && self.rng.random_bool(0.5) {
+            self.rng.random_range(500..3_900)
+        } else {
+            0
+        }
+    }
+
     /// Sends a message to another controller; it is lost while the two can't reach each other.
     fn send_to_peer(&mut self, node: usize, to: &str, message: &Message) {
         self.sent.messages += 1;
