--- a/src/admission/answers.rs
+++ b/src/admission/answers.rs
@@ -11,6 +11,8 @@
 const STATUS_CREATED: u16 = 201;
 const STATUS_NOT_FOUND: u16 = 404;
 const STATUS_UNAVAILABLE: u16 = 503;
+/// Maximum length of an error text.
+const MAX_ERROR_BYTES: usize = 500;
 /// The `Retry-After` value, in seconds, of answers with status 503.
 const RETRY_AFTER_S: u32 = 1;
 
@@ -25,6 +27,8 @@
     MachineTypesUnknown,
     #[error("the state service can't be reached")]
     StateServiceUnreachable,
+    #[error("the state service doesn't accept the change")]
+    WriteRejected,
     #[error("the job's end can't be read")]
     EndUnreadable,
     #[error("no answer in time")]
@@ -94,8 +98,10 @@
     error_answer(STATUS_NOT_FOUND, "no such job")
 }
 
-/// Returns an answer whose body is a JSON object with this `error` text.
+/// Returns an answer whose body is a JSON object with this `error` text. A text that quotes a
+/// long request is cut off.
 pub fn error_answer(status: u16, error: &str) -> Answer {
+    let error = &error[..error.floor_char_boundary(MAX_ERROR_BYTES)];
     Answer {
         status,
         body: json!({ "error": error }).to_string(),
--- a/src/admission/answers/tests.rs
+++ b/src/admission/answers/tests.rs
@@ -4,6 +4,18 @@
     (answer.status, answer.body, answer.retry_after_s)
 }
 
+/// Guards against a line of an answer that is longer than its receiver reads, because it quotes a
+/// long request.
+#[test]
+fn a_long_error_text_is_cut_off() {
+    for quoted in ["x".repeat(60_000), "é\n\u{1}".repeat(20_000)] {
+        let answer = error_answer(400, &quoted);
+        assert!(answer.body.len() < 4_000, "{} bytes", answer.body.len());
+        let body: serde_json::Value = serde_json::from_str(&answer.body).expect("json");
+        assert!(quoted.starts_with(body["error"].as_str().expect("a text")));
+    }
+}
+
 #[test]
 fn job_answers_have_the_exact_bodies_of_the_protocol() {
     let accepted_body = r#"{"id":"j-1","standing":"queued"}"#;
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -33,7 +33,7 @@
 use crate::Millis;
 use crate::peers::{Answer, PeerLinks, UserRequest};
 use crate::pipeline::TaskCounts;
-use crate::settings::Limits;
+use crate::settings::{Limits, StoreLimits};
 use crate::store::{EndValue, Keys, WatchCache};
 use crate::wire::{Condition, JobSpec};
 use answers::Unavailable;
@@ -63,6 +63,8 @@
     pub watch_cache: &'a WatchCache,
     /// Limits of this controller, including the memory limit that bounds unfinished work.
     pub limits: &'a Limits,
+    /// Limits of the state service, which bound the size of a job's description.
+    pub store_limits: &'a StoreLimits,
     /// The condition that the leader's claim still holds, while this controller is the acting leader.
     pub claim: Option<Condition>,
     /// Determines whether a well-formed job can ever run.
--- a/src/admission/refusal.rs
+++ b/src/admission/refusal.rs
@@ -28,6 +28,17 @@
     /// The image name is empty.
     #[error("an image must be named")]
     MissingImage,
+    /// The description is longer than a value that the state service stores.
+    #[error("the description takes {bytes} bytes, but at most {max_bytes} can be stored")]
+    TooLarge {
+        /// The bytes that the description takes when it is stored.
+        bytes: usize,
+        /// The most bytes that can be stored.
+        max_bytes: usize,
+    },
+    /// The state service does not accept the description.
+    #[error("the description can't be stored")]
+    NotStorable,
     /// The settings have no team of this name.
     #[error("unknown team")]
     UnknownTeam,
@@ -49,7 +60,11 @@
             | Refusal::TaskCountOutOfRange
             | Refusal::NegativeAmount
             | Refusal::MissingImage => STATUS_MALFORMED,
-            Refusal::UnknownTeam | Refusal::OverTeamLimit | Refusal::FitsNoMachineType => STATUS_IMPOSSIBLE,
+            Refusal::TooLarge { .. }
+            | Refusal::NotStorable
+            | Refusal::UnknownTeam
+            | Refusal::OverTeamLimit
+            | Refusal::FitsNoMachineType => STATUS_IMPOSSIBLE,
         }
     }
 
--- a/src/admission/submissions.rs
+++ b/src/admission/submissions.rs
@@ -2,7 +2,7 @@
 
 use super::answers::Unavailable;
 use super::writes::JobWrite;
-use super::{AdmissionContext, Feasibility, Refusal};
+use super::{AdmissionContext, Feasibility, Refusal, validation};
 use crate::memory;
 use crate::store::JobKey;
 use crate::wire::JobSpec;
@@ -22,22 +22,24 @@
 
 /// Decides on a well-formed submission.
 pub(super) fn decide(context: &AdmissionContext<'_>, spec: &JobSpec) -> Decision {
+    let job = JobKey {
+        spec: spec.clone(),
+        accepted_ms: context.wall_clock,
+        ended: None,
+    };
+    if let Err(refusal) = validation::check_storable(&job, context.store_limits) {
+        return Decision::Refuse(refusal);
+    }
     match (context.feasibility)(spec) {
         Feasibility::Infeasible(refusal) => Decision::Refuse(refusal),
         Feasibility::Unknown => Decision::Postpone(Unavailable::MachineTypesUnknown),
-        Feasibility::Feasible if !memory::has_memory_for_job(context.limits, context.watch_cache, spec.tasks) => {
+        Feasibility::Feasible if !memory::has_memory_for_job(context.limits, context.watch_cache, spec) => {
             Decision::Postpone(Unavailable::TooMuchUnfinishedWork)
         }
-        Feasibility::Feasible => Decision::Accept(Box::new(acceptance_write(context, spec))),
+        // The write creates the job's key.
+        Feasibility::Feasible => {
+            let write = JobWrite::new(context, job, ABSENT_KEY_VERSION, Vec::new());
+            Decision::Accept(Box::new(write))
+        }
     }
 }
-
-/// Returns the write that creates the job's key.
-fn acceptance_write(context: &AdmissionContext<'_>, spec: &JobSpec) -> JobWrite {
-    let job = JobKey {
-        spec: spec.clone(),
-        accepted_ms: context.wall_clock,
-        ended: None,
-    };
-    JobWrite::new(context, job, ABSENT_KEY_VERSION, Vec::new())
-}
--- a/src/admission/validation.rs
+++ b/src/admission/validation.rs
@@ -1,14 +1,20 @@
 //! Parses submissions and checks whether they are well-formed and can ever run.
 
 use super::Refusal;
-use crate::settings::Team;
-use crate::wire::{Catalogue, JobSpec, MachineType};
+use crate::settings::{StoreLimits, Team};
+use crate::store::{JobKey, MAX_TRANSACTION_BYTES, encoded_size};
+use crate::wire::{Catalogue, JobSpec, JobState, MachineType};
 
 /// The maximum number of tasks in a job.
 pub(super) const MAX_TASKS: u32 = 100_000;
 const JOB_ID_PREFIX: &str = "j-";
 /// The maximum number of digits in a job id.
 const MAX_ID_DIGITS: usize = 20;
+/// Size of the field that an ended job's key has in addition, without the field's value.
+const ENDED_FIELD_BYTES: usize = r#","ended":"#.len();
+/// Upper bound of the size of a transaction that writes the end of one job, without the value of
+/// the job's key. All names in it are bounded.
+const OTHER_TRANSACTION_BYTES: usize = 1_024;
 /// Tolerance for floating-point rounding when an amount is compared with a team's limit.
 const ROUNDING_TOLERANCE: f64 = 1e-9;
 
@@ -78,6 +84,19 @@
     Ok(())
 }
 
+/// Checks whether the job's key can be written in each of its forms: as accepted, cancelled and
+/// done.
+pub(super) fn check_storable(job: &JobKey, limits: &StoreLimits) -> Result<(), Refusal> {
+    let bytes = encoded_size(job) + ENDED_FIELD_BYTES + encoded_size(&JobState::Cancelled);
+    let max_bytes = limits
+        .value_bytes()
+        .min(MAX_TRANSACTION_BYTES - OTHER_TRANSACTION_BYTES);
+    if bytes > max_bytes {
+        return Err(Refusal::TooLarge { bytes, max_bytes });
+    }
+    Ok(())
+}
+
 /// Checks whether a well-formed job can ever run: its team exists and may use enough
 /// resources for one task, and a task fits some allowed machine type.
 pub(super) fn check_feasible(spec: &JobSpec, teams: &[Team], catalogue: &Catalogue) -> Result<(), Refusal> {
--- a/src/admission/writes.rs
+++ b/src/admission/writes.rs
@@ -6,7 +6,7 @@
 use super::answers::{self, Unavailable};
 use super::cancellations::CANCELLED;
 use super::pending::Awaited;
-use super::{Admission, AdmissionContext, AdmissionEffect};
+use super::{Admission, AdmissionContext, AdmissionEffect, JobRequestKind, Refusal};
 use crate::store::{EndValue, JobKey, StoreReply};
 use crate::wire::{Change, Condition, Transaction};
 use serde_json::json;
@@ -89,6 +89,7 @@
                 self.await_confirming_read(request_id);
                 Vec::new()
             }
+            StoreReply::Rejected { reason } => self.on_write_rejected(context, request_id, reason),
             // The write may have been applied. Sending it again shows which: it either commits
             // or conflicts with the earlier one.
             StoreReply::Unanswered if request.may_retry_write(context.now) => vec![AdmissionEffect::Write {
@@ -98,4 +99,26 @@
             _ => self.finish(context, request_id, Unavailable::StateServiceUnreachable.answer()),
         }
     }
+
+    /// Handles a write that the state service does not accept. A submission is refused for good,
+    /// unless the job turns out to be known. A cancellation may succeed later, when the job has
+    /// ended by itself or the limits of the service have changed.
+    fn on_write_rejected(
+        &mut self,
+        context: &AdmissionContext<'_>,
+        request_id: u64,
+        reason: &str,
+    ) -> Vec<AdmissionEffect> {
+        let Some(request) = self.pending.get_mut(&request_id) else {
+            return Vec::new();
+        };
+        let job_request = &mut request.job_request;
+        tracing::error!(job = job_request.job_id, reason, "the state service rejects a job");
+        if matches!(job_request.kind, JobRequestKind::Cancellation) {
+            return self.finish(context, request_id, Unavailable::WriteRejected.answer());
+        }
+        job_request.kind = JobRequestKind::RefusedSubmission(Refusal::NotStorable);
+        self.await_confirming_read(request_id);
+        Vec::new()
+    }
 }
--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -5,7 +5,7 @@
 use crate::Millis;
 use crate::fleet::{LISTING_INTERVAL_MS, MachineRequestRecord};
 use crate::persistence::AnsweredRequest;
-use crate::store::{StoreRequest, TokenBucket};
+use crate::store::{StoreRequest, TokenBucket, encoded_size};
 use crate::wire::{Catalogue, Change, MachineList, MachineNames, MachineRequest, Transaction};
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -182,10 +182,15 @@
 
     /// Sets the catalogue. If it has changed, also stores it in the state service, so that a
     /// controller that restarts while the cloud is unreachable can still decide on submissions.
+    /// One that is too large to be stored is only used here.
     fn catalogue_read(&mut self, catalogue: Catalogue) {
         let value = json!(catalogue);
         let stored = self.watch_cache.catalogue();
-        if stored.is_none_or(|stored| *stored != value) && self.election.is_acting_leader(self.now) {
+        let is_changed = stored.is_none_or(|stored| *stored != value);
+        let (bytes, max_bytes) = (encoded_size(&value), self.settings.params.state.value_bytes());
+        if bytes > max_bytes {
+            tracing::warn!(bytes, max_bytes, "the catalogue is too large to be stored");
+        } else if is_changed && self.election.is_acting_leader(self.now) {
             let transaction = Transaction {
                 conditions: vec![self.election.claim_condition(&self.keys)],
                 changes: vec![Change::put(self.keys.catalogue(), value)],
--- a/src/controller/commits.rs
+++ b/src/controller/commits.rs
@@ -53,6 +53,7 @@
                 self.retry_commit();
             }
             StoreReply::Unavailable => self.retry_commit(),
+            StoreReply::Rejected { reason } => self.commit_rejected(&reason),
             other => {
                 tracing::error!(?other, "a transaction was refused");
                 self.term_raise.request_reload();
@@ -68,6 +69,22 @@
         self.placement_rounds.request();
     }
 
+    /// Handles a transaction that the state service does not accept. Its changes are written one
+    /// at a time from now on, so that the rejected one does not stop the others.
+    ///
+    /// If an earlier copy was applied after all, before the limits of the service changed, the
+    /// next transaction conflicts and the shard is reloaded.
+    fn commit_rejected(&mut self, reason: &str) {
+        let Some(shard) = &mut self.shard else {
+            return;
+        };
+        match shard.rejected(self.now) {
+            Some(write) => tracing::error!(reason, ?write, "the state service rejects a change"),
+            None => tracing::info!("writing the changes of a rejected transaction one at a time"),
+        }
+        self.placement_rounds.request();
+    }
+
     /// Records that the last copy sent may have been applied or may still be applied.
     fn note_unanswered_commit(&mut self) {
         let shard = self.shard.as_mut();
--- a/src/controller/direct_commands.rs
+++ b/src/controller/direct_commands.rs
@@ -6,7 +6,7 @@
 use super::{Controller, Output, SHARD, Shard, WorkerReply};
 use crate::Millis;
 use crate::ids::MachineIx;
-use crate::peers::{AddressedCommands, Message};
+use crate::peers::{AddressedCommands, Message, batches};
 use crate::wire::{Command, DirectCommands};
 use crate::workers::ReportPath;
 use std::collections::BTreeMap;
@@ -59,9 +59,12 @@
             }
         }
         for (node, commands) in by_peer {
-            let shard = SHARD.into();
-            let message = Message::DeliverCommands { shard, commands };
-            self.outputs.push(Output::Peer { node, message });
+            for commands in batches(commands) {
+                let shard = SHARD.into();
+                let message = Message::DeliverCommands { shard, commands };
+                let node = node.clone();
+                self.outputs.push(Output::Peer { node, message });
+            }
         }
     }
 
--- a/src/controller/lease_extension.rs
+++ b/src/controller/lease_extension.rs
@@ -3,7 +3,7 @@
 
 use super::{Controller, Output, SHARD};
 use crate::Millis;
-use crate::peers::{CancelledJob, Message};
+use crate::peers::{BatchItem, CancelledJob, MAX_BATCH_BYTES, Message};
 use crate::wire::JobState;
 
 /// The largest number of cancelled jobs in a grant. An extension is not granted if there are more.
@@ -46,8 +46,8 @@
         }
     }
 
-    /// Returns the jobs cancelled after `watch_revision`, or `None` if there are more than
-    /// [`MAX_CANCELLED_JOBS`].
+    /// Returns the jobs cancelled after `watch_revision`, or `None` if there are more than one
+    /// message carries.
     fn cancelled_since(&self, watch_revision: u64) -> Option<Vec<CancelledJob>> {
         let newer = self.watch_cache.jobs().values();
         let newer = newer.filter(|(key, version)| *version > watch_revision && key.ended == Some(JobState::Cancelled));
@@ -58,7 +58,8 @@
                 version: *version,
             })
             .collect();
-        (cancelled_jobs.len() <= MAX_CANCELLED_JOBS).then_some(cancelled_jobs)
+        let bytes: usize = cancelled_jobs.iter().map(BatchItem::max_frame_bytes).sum();
+        (cancelled_jobs.len() <= MAX_CANCELLED_JOBS && bytes <= MAX_BATCH_BYTES).then_some(cancelled_jobs)
     }
 
     /// Handles a grant for this leader's term. Jobs that were cancelled through other controllers
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -25,6 +25,7 @@
             wall_clock: self.wall_clock,
             keys: &self.keys,
             limits: &self.settings.params.limits,
+            store_limits: &self.settings.params.state,
             watch_cache: &self.watch_cache,
             claim,
             feasibility: &feasibility,
--- a/src/controller/shard/machines.rs
+++ b/src/controller/shard/machines.rs
@@ -3,6 +3,7 @@
 
 use super::Shard;
 use crate::Millis;
+use crate::fleet::member_bytes;
 use crate::ids::MachineIx;
 use crate::resources::Offer;
 use crate::wire::{ListedMachine, MachineList, Report};
@@ -43,13 +44,23 @@
     /// Puts a machine that certainly exists into the inventory, so that the next leader will know
     /// of it. Has no effect if the machine is already there.
     pub fn add_to_inventory(&mut self, ix: MachineIx) {
-        if let Some(machine) = self.workers.machines.get_mut(ix)
-            && machine.group.is_none()
-        {
-            machine.group = Some(self.fleet.inventory.add(self.term, ix));
+        let Some(machine) = self.workers.machines.get(ix).filter(|machine| machine.group.is_none()) else {
+            return;
+        };
+        let bytes = self.inventory_bytes(machine);
+        let group = self.fleet.inventory.add(self.term, ix, bytes);
+        if let Some(machine) = self.workers.machines.get_mut(ix) {
+            machine.group = Some(group);
         }
     }
 
+    /// Returns the bytes that a machine takes in the inventory.
+    fn inventory_bytes(&self, machine: &Machine) -> usize {
+        let machine_type = self.topology.types.name(machine.type_ix);
+        let zone = self.topology.zones.name(machine.zone);
+        member_bytes(&machine.name, machine_type, zone)
+    }
+
     /// Removes machines whose deletion the cloud has confirmed. All attempts on them are lost.
     pub fn remove_deleted_machines(&mut self, now: Millis, names: &[String]) {
         for name in names {
@@ -70,8 +81,11 @@
             self.close_attempt(now, attempt, Outcome::Lost);
         }
         let removed = self.workers.remove_machine(now, name);
-        if let Some(group) = removed.and_then(|machine| machine.group) {
-            self.fleet.inventory.remove(group, ix);
+        if let Some(machine) = removed
+            && let Some(group) = machine.group
+        {
+            let bytes = self.inventory_bytes(&machine);
+            self.fleet.inventory.remove(group, ix, bytes);
         }
         // The index may be reused for another machine.
         for (_, job) in self.jobs.table.iter_mut() {
--- a/src/controller/shard/tests.rs
+++ b/src/controller/shard/tests.rs
@@ -5,6 +5,7 @@
 mod attribution;
 mod commands;
 mod loading;
+mod rejections;
 mod reports;
 mod scaling;
 mod scheduling;
--- a/src/controller/shard/transactions.rs
+++ b/src/controller/shard/transactions.rs
@@ -2,10 +2,11 @@
 
 use super::Shard;
 use crate::Millis;
-use crate::persistence::{ChangeLimits, PendingWrites, WriteContext};
+use crate::ids::{AttemptIx, ChunkId};
+use crate::persistence::{ChangeLimits, PendingWrites, QueuedWrite, WriteContext};
 use crate::store::Keys;
 use crate::wire::{Condition, Transaction};
-use crate::workers::Outcome;
+use crate::workers::{Attempt, Outcome};
 use std::sync::Arc;
 
 impl Shard {
@@ -66,6 +67,40 @@
         pending_writes.not_applied(context);
     }
 
+    /// Handles the rejection of the transaction in flight by the state service. Its changes are
+    /// queued again, each to be written alone.
+    ///
+    /// A chunk that is rejected alone gives up its planned attempts, which would otherwise keep
+    /// resources that they can't use, and holds fewer open attempts from now on.
+    pub fn rejected(&mut self, now: Millis) -> Option<QueuedWrite> {
+        let (pending_writes, context) = self.write_context();
+        let rejected = pending_writes.rejected(now, context);
+        if let Some(QueuedWrite::Chunk(chunk)) = &rejected {
+            self.shrink_chunk(now, *chunk);
+        }
+        rejected
+    }
+
+    /// Closes the planned attempts of a chunk that was rejected, and halves the number of attempts
+    /// that it may hold.
+    fn shrink_chunk(&mut self, now: Millis, id: ChunkId) {
+        let tasks_per_chunk = self.jobs.tasks_per_chunk;
+        let Some(job) = self.jobs.table.get_mut(id.job) else {
+            return;
+        };
+        let tasks = job.tasks_of_chunk(id.number, tasks_per_chunk);
+        let open: Vec<AttemptIx> = job.open.range(tasks).map(|(_, &attempt)| attempt).collect();
+        if let Some(chunk) = job.chunks.get_mut(id.number as usize) {
+            chunk.write_rejected(open.len() as u32);
+        }
+        for attempt in open {
+            let is_planned = self.workers.attempts.get(attempt).is_some_and(Attempt::is_only_planned);
+            if is_planned {
+                self.close_attempt(now, attempt, Outcome::Lost);
+            }
+        }
+    }
+
     /// Returns the pending writes, and the parts of the shard that writing reads and changes.
     fn write_context(&mut self) -> (&mut PendingWrites, WriteContext<'_>) {
         let context = WriteContext {
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -7,6 +7,8 @@
 use crate::wire::{Entry, JobSpec, Page, Transaction};
 
 mod job_end_answers;
+mod large_jobs;
+mod user_fixture;
 
 fn at(monotonic: Millis) -> Now {
     Now {
--- a/src/controller/worker_reports.rs
+++ b/src/controller/worker_reports.rs
@@ -1,13 +1,10 @@
 //! Worker reports: answered by the leader, relayed to it by the other controllers.
 
 use super::{Controller, Output, SHARD};
-use crate::peers::{Answer, Message, RelayedReport, RelayedReportReply, ReportReply};
+use crate::peers::{Answer, Message, RelayedReport, RelayedReportReply, ReportReply, batches};
 use crate::wire::{Redirect, Report};
 use crate::workers::{MergeOutcome, ReportPath};
 
-/// The largest number of reports or replies in one message, which keeps frames small.
-const BATCH_SIZE: usize = 64;
-
 impl Controller {
     /// Handles a report that a worker sent to this controller: answers it as the leader, relays it
     /// to the leader, or sends the worker to another controller if there is no known leader or too
@@ -60,8 +57,11 @@
                 RelayedReportReply { id, reply }
             })
             .collect();
-        let message = Message::ReportReplies { replies };
-        self.outputs.push(Output::Peer { node, message });
+        for replies in batches(replies) {
+            let message = Message::ReportReplies { replies };
+            let node = node.clone();
+            self.outputs.push(Output::Peer { node, message });
+        }
     }
 
     /// Passes the leader's replies on to the workers whose reports this controller relayed.
@@ -127,17 +127,6 @@
     }
 }
 
-/// Splits `items` into consecutive batches of at most [`BATCH_SIZE`].
-fn batches<T>(mut items: Vec<T>) -> impl Iterator<Item = Vec<T>> {
-    std::iter::from_fn(move || {
-        if items.is_empty() {
-            return None;
-        }
-        let rest = items.split_off(items.len().min(BATCH_SIZE));
-        Some(std::mem::replace(&mut items, rest))
-    })
-}
-
 /// Converts the leader's reply into the HTTP answer for the worker.
 fn report_answer(reply: ReportReply) -> Answer {
     let (status, body) = match reply {
--- a/src/fleet/inventory.rs
+++ b/src/fleet/inventory.rs
@@ -2,14 +2,15 @@
 //! key, since a fleet is scaled out far faster than single keys may be written.
 
 use crate::ids::{GroupIx, MachineIx, Table};
+use crate::wire::MAX_ADDRESS_BYTES;
 use serde::{Deserialize, Serialize, Serializer};
 use std::collections::BTreeSet;
 
 /// The share of the size limit of a stored value that a group is planned to fill. The rest is
-/// a margin for long names.
+/// a margin for names that are written with escapes.
 const VALUE_FILL_SHARE: f64 = 0.8;
-/// Bytes that a member is assumed to take of its group's value.
-const MEMBER_BYTES: f64 = 160.0;
+/// Bytes that a member takes of its group's value in addition to its names and its address.
+const MEMBER_OVERHEAD_BYTES: usize = 24;
 /// The most members of a group, however large a stored value may be.
 const MAX_MEMBERS: usize = 64;
 
@@ -29,6 +30,12 @@
     pub address: Option<String>,
 }
 
+/// Returns the bytes that a member with these names takes of its group's value. The address,
+/// which may become known or change later, counts with its greatest length.
+pub fn member_bytes(name: &str, machine_type: &str, zone: &str) -> usize {
+    MEMBER_OVERHEAD_BYTES + name.len() + machine_type.len() + zone.len() + MAX_ADDRESS_BYTES
+}
+
 /// The stored form of a member. It is an array because a fleet has thousands of members, and
 /// field names would make up most of each value.
 type StoredMember = (String, String, String, bool, Option<String>);
@@ -75,6 +82,8 @@
     pub version: u64,
     /// The machines that belong to the group, including those not yet stored under its key.
     pub members: BTreeSet<MachineIx>,
+    /// Bytes that the members take that were added by this leader.
+    bytes: usize,
 }
 
 /// Selects the groups to be written.
@@ -96,8 +105,9 @@
     /// Groups whose stored value only names a deleted machine or lacks an address. Nothing
     /// waits for these to be written.
     deferred: BTreeSet<GroupIx>,
-    /// The most members of a group, so that its stored value stays within the size limit.
-    max_members: usize,
+    /// The most bytes that the members of a group take, so that its stored value stays within the
+    /// size limit.
+    max_bytes: usize,
     /// The group that new machines are added to.
     open_group: Option<GroupIx>,
     next_group_number: u32,
@@ -106,9 +116,8 @@
 impl Inventory {
     /// Creates an empty inventory whose stored values stay below `value_kb` KiB.
     pub fn new(value_kb: f64) -> Inventory {
-        let bytes = value_kb * 1024.0 * VALUE_FILL_SHARE;
         Inventory {
-            max_members: ((bytes / MEMBER_BYTES) as usize).clamp(1, MAX_MEMBERS),
+            max_bytes: (value_kb * 1024.0 * VALUE_FILL_SHARE) as usize,
             ..Inventory::default()
         }
     }
@@ -118,12 +127,13 @@
         self.groups.get(ix)
     }
 
-    /// Adds a machine to a group with space for it, which is created if there is none. The name
-    /// of a new group contains the leader's `term` and so is unique.
-    pub fn add(&mut self, term: u64, machine: MachineIx) -> GroupIx {
+    /// Adds a machine to a group with space for it, which is created if there is none. The machine
+    /// takes this many [`member_bytes`]. The name of a new group contains the leader's `term` and
+    /// so is unique.
+    pub fn add(&mut self, term: u64, machine: MachineIx, bytes: usize) -> GroupIx {
         let with_room = self.open_group.filter(|&ix| {
             let group = self.groups.get(ix);
-            group.is_some_and(|group| group.members.len() < self.max_members)
+            group.is_some_and(|group| group.members.len() < MAX_MEMBERS && group.bytes + bytes <= self.max_bytes)
         });
         let ix = with_room.unwrap_or_else(|| {
             let name = format!("{term}-{}", self.next_group_number);
@@ -132,6 +142,9 @@
         });
         self.open_group = Some(ix);
         self.add_member(ix, machine);
+        if let Some(group) = self.groups.get_mut(ix) {
+            group.bytes += bytes;
+        }
         self.urgent.insert(ix);
         ix
     }
@@ -142,6 +155,7 @@
             name: name.into(),
             version,
             members: BTreeSet::new(),
+            bytes: 0,
         };
         self.groups.insert(name, group)
     }
@@ -153,11 +167,13 @@
         }
     }
 
-    /// Removes a deleted machine. Its group is to be written again, which is not urgent.
-    pub fn remove(&mut self, group: GroupIx, machine: MachineIx) {
-        if let Some(members) = self.groups.get_mut(group).map(|group| &mut group.members) {
-            members.remove(&machine);
-            self.deferred.insert(group);
+    /// Removes a deleted machine, which took this many [`member_bytes`]. Its group is to be written
+    /// again, which is not urgent.
+    pub fn remove(&mut self, group_ix: GroupIx, machine: MachineIx, bytes: usize) {
+        if let Some(group) = self.groups.get_mut(group_ix) {
+            group.members.remove(&machine);
+            group.bytes = group.bytes.saturating_sub(bytes);
+            self.deferred.insert(group_ix);
         }
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -18,7 +18,7 @@
 pub use cloud_calls::{CallState, PendingMachineRequest};
 pub use context::FleetContext;
 pub use health::HealthAssessment;
-pub use inventory::{DueGroups, Group, GroupValue, Inventory, InventoryMember};
+pub use inventory::{DueGroups, Group, GroupValue, Inventory, InventoryMember, member_bytes};
 pub use provision::ScalingPlan;
 
 use crate::Millis;
--- a/src/memory/tests.rs
+++ b/src/memory/tests.rs
@@ -17,17 +17,51 @@
 
 /// Returns how many jobs with this number of tasks are admitted with 85 MB of memory.
 fn count_admitted_jobs(tasks: u32) -> usize {
+    count_admitted(|number| job(number, tasks))
+}
+
+/// Returns how many of these jobs are admitted with 85 MB of memory.
+fn count_admitted(job: impl Fn(usize) -> JobKey) -> usize {
     let limits = Limits {
         cpu_share: 0.03,
         memory_mb: 85.0,
         max_connections: 2_500,
     };
     let mut watched = WatchCache::default();
-    while has_memory_for_job(&limits, &watched, tasks) {
+    loop {
         let number = watched.jobs().len();
-        watched.record_job(&format!("j-{number}"), job(number, tasks), 1);
+        let key = job(number);
+        if !has_memory_for_job(&limits, &watched, &key.spec) {
+            return number;
+        }
+        watched.record_job(&format!("j-{number}"), key, 1);
     }
-    watched.jobs().len()
+}
+
+/// Guards against a controller that runs out of memory because descriptions of any length count
+/// alike: with 15 KiB each, 762 jobs took 80 of 85 MB.
+#[test]
+fn jobs_with_long_descriptions_are_admitted_up_to_their_share_of_memory() {
+    let types: Vec<String> = (0..770).map(|number| format!("yard-hauler-{number:05}")).collect();
+    let admitted = count_admitted(|number| {
+        let mut key = job(number, 1);
+        key.spec.types = Some(types.clone());
+        key
+    });
+    let names_bytes = 2 * 770 * ("yard-hauler-00000".len() + 24);
+    assert!(admitted > 0 && admitted * names_bytes < (85e6 * UNFINISHED_JOBS_SHARE) as usize);
+}
+
+/// Guards against sizes that remain counted after a job is replaced or removed.
+#[test]
+fn names_are_counted_while_the_job_is_watched() {
+    let mut watched = WatchCache::default();
+    let mut long = job(1, 1);
+    long.spec.types = Some(vec!["a".repeat(1_000)]);
+    watched.record_job("j-1", long, 1);
+    assert!(watched.name_bytes() > 1_000);
+    watched.record_job("j-1", job(1, 1), 2);
+    assert_eq!(watched.name_bytes(), job(1, 1).spec.name_bytes());
 }
 
 /// Guards against a controller that runs out of memory: new jobs must be refused before.
--- a/src/persistence/clean_ups.rs
+++ b/src/persistence/clean_ups.rs
@@ -1,8 +1,8 @@
 //! Removal of the keys of ended jobs: first the keys of their chunks, then the job's own key.
 
 use super::next_transaction::Draft;
-use super::transaction_builder::{DELETE_BYTES, TransactionBuilder};
-use super::{CommitEffects, PendingWrites, WriteContext};
+use super::transaction_builder::{ChangeSet, TransactionBuilder};
+use super::{CommitEffects, PendingWrites, QueuedWrite, WriteContext};
 use crate::ids::JobIx;
 use crate::pipeline::{Chunk, Job};
 use crate::store::Keys;
@@ -21,14 +21,20 @@
     /// Adds the removal of the keys of ended jobs that have no open attempts.
     pub(super) fn add_clean_ups(&mut self, context: &WriteContext<'_>, draft: &mut Draft<'_>) {
         for ix in self.clean_ups.clone() {
-            self.clean_ups.remove(&ix);
+            if !draft.admits(&QueuedWrite::CleanUp(ix)) {
+                continue;
+            }
             let job = context.jobs.table.get(ix);
             let Some(job) = job.filter(|job| job.ended.is_some() && job.open.is_empty()) else {
+                self.clean_ups.remove(&ix);
                 continue;
             };
             let clean_up = add_clean_up(ix, job, draft.keys, &mut draft.builder);
             let is_complete = clean_up.removes_job;
-            draft.content.clean_ups.push(clean_up);
+            if is_complete || !clean_up.chunks.is_empty() {
+                self.clean_ups.remove(&ix);
+                draft.content.clean_ups.push(clean_up);
+            }
             if !is_complete {
                 return;
             }
@@ -63,17 +69,13 @@
 fn add_clean_up(ix: JobIx, job: &Job, keys: &Keys, builder: &mut TransactionBuilder) -> CleanUp {
     let mut chunks = Vec::new();
     for (number, chunk) in written_chunks(job) {
-        if !builder.has_space(1, DELETE_BYTES) {
+        if !builder.try_add(removal(keys.task_chunk(&job.id, number), chunk.version)) {
             break;
         }
-        builder.delete(keys.task_chunk(&job.id, number), chunk.version);
         chunks.push(number);
     }
     let removes_all = chunks.len() == written_chunks(job).count();
-    let removes_job = removes_all && builder.has_space(1, DELETE_BYTES);
-    if removes_job {
-        builder.delete(keys.job(&job.id), job.key_version);
-    }
+    let removes_job = removes_all && builder.try_add(removal(keys.job(&job.id), job.key_version));
     CleanUp {
         job: ix,
         chunks,
@@ -81,6 +83,13 @@
     }
 }
 
+/// Returns the removal of a key that has this version.
+fn removal(key: String, version: u64) -> ChangeSet {
+    let mut set = ChangeSet::default();
+    set.delete(key, version);
+    set
+}
+
 /// Iterates over the chunks that have a key, with their numbers.
 fn written_chunks(job: &Job) -> impl Iterator<Item = (u32, &Chunk)> {
     let chunks = (0..).zip(&job.chunks);
--- a/src/persistence/inventory_groups.rs
+++ b/src/persistence/inventory_groups.rs
@@ -1,24 +1,19 @@
 //! Writing the groups of the inventory, from which the next leader learns of the machines.
 
-use super::WriteContext;
 use super::next_transaction::Draft;
+use super::transaction_builder::ChangeSet;
+use super::{QueuedWrite, WriteContext};
 use crate::fleet::{DueGroups, Group, GroupValue, InventoryMember};
 use crate::ids::{GroupIx, MachineIx};
 use crate::topology::Topology;
-use crate::wire::Change;
 use crate::workers::{Machine, Workers};
 use serde_json::json;
 use std::collections::BTreeSet;
 
-/// Estimated size of a group's change, without its members.
-const GROUP_BYTES: usize = 100;
-/// Estimated size of one member in a group's value.
-const MEMBER_BYTES: usize = 120;
-
 /// An inventory group that the transaction in flight writes or removes.
 #[derive(Debug)]
 pub(super) struct WrittenGroup {
-    group: GroupIx,
+    pub group: GroupIx,
     /// Names of the machines in the group's value; empty if its key is removed. Names are used
     /// because an index may belong to another machine when the transaction is answered.
     machines: Vec<String>,
@@ -43,46 +38,46 @@
             context.inventory.write_started(ix);
             continue;
         };
-        let bytes = GROUP_BYTES + group.members.len() * MEMBER_BYTES;
-        if !draft.builder.has_space(1, bytes) {
-            return;
+        if !draft.admits(&QueuedWrite::Group(ix)) {
+            continue;
         }
         if group.members.is_empty() && group.version == 0 {
             context.inventory.remove_group(ix);
         } else {
-            let written = add_group(ix, group, bytes, context, draft);
+            if !draft.builder.has_space(1) {
+                return;
+            }
+            let Some(written) = add_group(ix, group, context, draft) else {
+                return;
+            };
             draft.content.groups.push(written);
         }
         context.inventory.write_started(ix);
     }
 }
 
-/// Adds the change that writes a group, or removes its key if it has no machines.
-fn add_group(
-    ix: GroupIx,
-    group: &Group,
-    bytes: usize,
-    context: &WriteContext<'_>,
-    draft: &mut Draft<'_>,
-) -> WrittenGroup {
+/// Adds the change that writes a group, or removes its key if it has no machines. Returns `None`
+/// if there is no space for it.
+fn add_group(ix: GroupIx, group: &Group, context: &WriteContext<'_>, draft: &mut Draft<'_>) -> Option<WrittenGroup> {
     let key = draft.keys.machine_group(&group.name);
     let machines: Vec<&Machine> = group_machines(group, context.workers).collect();
+    let mut set = ChangeSet::default();
     if machines.is_empty() {
-        draft.builder.delete(key, group.version);
+        set.delete(key, group.version);
     } else {
-        draft.builder.require(key.clone(), group.version);
+        set.require(key.clone(), group.version);
         let members = machines
             .iter()
             .map(|machine| inventory_member(machine, context.topology));
         let value = GroupValue {
             machines: members.collect(),
         };
-        draft.builder.change(Change::put(key, json!(value)), bytes);
+        set.put(key, json!(value));
     }
-    WrittenGroup {
+    draft.builder.try_add(set).then(|| WrittenGroup {
         group: ix,
         machines: machines.iter().map(|machine| machine.name.clone()).collect(),
-    }
+    })
 }
 
 /// Iterates over the machines of a group.
--- a/src/persistence/machine_requests.rs
+++ b/src/persistence/machine_requests.rs
@@ -2,15 +2,12 @@
 //! removed once the cloud has answered and the new machines are written.
 
 use super::next_transaction::Draft;
-use super::transaction_builder::DELETE_BYTES;
-use super::{PendingWrites, WriteContext};
+use super::transaction_builder::ChangeSet;
+use super::{PendingWrites, QueuedWrite, WriteContext};
 use crate::fleet::MachineRequestRecord;
-use crate::wire::Change;
+use crate::store::Keys;
 use serde_json::json;
 
-/// Estimated size of the change that writes a machine request.
-const REQUEST_BYTES: usize = 200;
-
 /// A machine request that is written and may be sent to the cloud.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WrittenRequest {
@@ -40,14 +37,14 @@
 impl PendingWrites {
     /// Adds the records of new machine requests while the transaction has space.
     pub(super) fn add_machine_requests(&mut self, draft: &mut Draft<'_>) {
-        while draft.builder.has_space(1, REQUEST_BYTES) {
-            let Some(record) = self.machine_requests.pop_front() else {
-                return;
-            };
-            let key = draft.keys.machine_request(&record.request);
-            draft.builder.require(key.clone(), 0);
-            draft.builder.change(Change::put(key, json!(record)), REQUEST_BYTES);
-            draft.content.machine_requests.push(record);
+        for record in std::mem::take(&mut self.machine_requests) {
+            let write = QueuedWrite::MachineRequest(record.request.clone());
+            if draft.admits(&write) && draft.builder.has_space(1) && draft.builder.try_add(put_of(&record, draft.keys))
+            {
+                draft.content.machine_requests.push(record);
+            } else {
+                self.machine_requests.push_back(record);
+            }
         }
     }
 
@@ -55,13 +52,32 @@
     /// A key is removed no earlier than by the transaction that writes the machines that the
     /// cloud created for the request.
     pub(super) fn add_answered_requests(&mut self, context: &WriteContext<'_>, draft: &mut Draft<'_>) {
-        while !context.inventory.has_urgent() && draft.builder.has_space(1, DELETE_BYTES) {
-            let Some(answered) = self.answered_requests.pop_front() else {
-                return;
-            };
-            let key = draft.keys.machine_request(&answered.request);
-            draft.builder.delete(key, answered.version);
-            draft.content.answered_requests.push(answered);
+        if context.inventory.has_urgent() {
+            return;
+        }
+        for answered in std::mem::take(&mut self.answered_requests) {
+            let write = QueuedWrite::AnsweredRequest(answered.request.clone());
+            if draft.admits(&write) && draft.builder.try_add(removal_of(&answered, draft.keys)) {
+                draft.content.answered_requests.push(answered);
+            } else {
+                self.answered_requests.push_back(answered);
+            }
         }
     }
 }
+
+/// Returns the change that writes the record of a machine request.
+fn put_of(record: &MachineRequestRecord, keys: &Keys) -> ChangeSet {
+    let key = keys.machine_request(&record.request);
+    let mut set = ChangeSet::default();
+    set.require(key.clone(), 0);
+    set.put(key, json!(record));
+    set
+}
+
+/// Returns the change that removes the record of an answered machine request.
+fn removal_of(answered: &AnsweredRequest, keys: &Keys) -> ChangeSet {
+    let mut set = ChangeSet::default();
+    set.delete(keys.machine_request(&answered.request), answered.version);
+    set
+}
--- a/src/persistence/mod.rs
+++ b/src/persistence/mod.rs
@@ -7,7 +7,7 @@
 //! [`PendingWrites`] holds the queued changes. For each kind of change, a module adds it to a
 //! transaction and updates the state once that transaction is known to be committed or not
 //! applied. Consequences for other parts of the shard's state are returned as
-//! [`CommitEffects`].
+//! [`CommitEffects`]. Changes that the state service rejects are kept apart (`rejected_writes`).
 
 mod clean_ups;
 mod context;
@@ -18,6 +18,7 @@
 mod next_transaction;
 mod outcome;
 mod pending_writes;
+mod rejected_writes;
 mod stored_value;
 mod task_chunks;
 mod transaction_builder;
@@ -28,4 +29,5 @@
 pub use next_transaction::ChangeLimits;
 pub use outcome::CommitEffects;
 pub use pending_writes::PendingWrites;
+pub use rejected_writes::QueuedWrite;
 pub use stored_value::{StoredValueError, read_value};
--- a/src/persistence/next_transaction.rs
+++ b/src/persistence/next_transaction.rs
@@ -3,6 +3,7 @@
 
 use super::in_flight::Content;
 use super::inventory_groups::{add_all_groups, add_urgent_groups};
+use super::rejected_writes::{QueuedWrite, Selection};
 use super::transaction_builder::TransactionBuilder;
 use super::{InFlight, PendingWrites, WriteContext};
 use crate::Millis;
@@ -16,22 +17,45 @@
     /// Maximum number of changes, from the limits of the state service.
     pub total: usize,
     /// Number of changes up to which deferrable changes are added. It keeps deferrable changes
-    /// from using the write rate that the next starts of tasks need. It must be at least 1, or a
-    /// clean-up could be removed from the queue without being added.
+    /// from using the write rate that the next starts of tasks need.
     pub deferrable_cutoff: usize,
 }
 
+/// Number of changes in a transaction of a rejected change alone: as few as any change needs. The
+/// removal of the many keys of a job gets on with them, whatever the limits of the service are.
+const CHANGES_ALONE: usize = 2;
+
+impl ChangeLimits {
+    /// Returns these limits with at most this number of changes.
+    fn at_most(self, total: usize) -> ChangeLimits {
+        ChangeLimits {
+            total: self.total.min(total),
+            ..self
+        }
+    }
+}
+
 /// A transaction under construction and the changes added to it so far.
 #[derive(Debug)]
 pub(super) struct Draft<'a> {
     pub keys: &'a Keys,
     pub builder: TransactionBuilder,
     pub content: Content,
+    selection: Selection,
+}
+
+impl Draft<'_> {
+    /// Whether the transaction may contain this change.
+    pub fn admits(&self, write: &QueuedWrite) -> bool {
+        self.selection.admits(write)
+    }
 }
 
 impl PendingWrites {
     /// Builds the next transaction and marks it as in flight. Returns `None` if a transaction
     /// is already in flight or there is nothing to write.
+    ///
+    /// While changes have been rejected, every second transaction contains one of them alone.
     pub fn next_transaction(
         &mut self,
         now: Millis,
@@ -43,16 +67,55 @@
         if self.is_in_flight() {
             return None;
         }
+        let all_others = Selection::AllExcept(self.rejected.clone());
+        let selections = match self.next_rejected(now) {
+            Some(only) if self.last_was_alone => vec![all_others, only],
+            Some(only) => vec![only, all_others],
+            None => vec![all_others],
+        };
+        selections
+            .into_iter()
+            .find_map(|selection| self.build_transaction(now, keys, &mut context, &claim, limits, selection))
+    }
+
+    /// Returns the selection of the rejected change that is due to be written alone, if any.
+    fn next_rejected(&self, now: Millis) -> Option<Selection> {
+        self.rejected.next_due(now).map(Selection::Only)
+    }
+
+    /// Builds a transaction of the selected changes and marks it as in flight. Returns `None` if
+    /// none of them is to be written now.
+    fn build_transaction(
+        &mut self,
+        now: Millis,
+        keys: &Keys,
+        context: &mut WriteContext<'_>,
+        claim: &Condition,
+        limits: ChangeLimits,
+        selection: Selection,
+    ) -> Option<Arc<Transaction>> {
+        let limits = match selection {
+            Selection::Only(_) => limits.at_most(CHANGES_ALONE),
+            Selection::AllExcept(_) => limits,
+        };
         let mut draft = Draft {
             keys,
-            builder: TransactionBuilder::new(claim, limits.total),
+            builder: TransactionBuilder::new(claim.clone(), limits.total),
             content: Content::default(),
+            selection,
+        };
+        self.add_urgent(now, context, &mut draft);
+        self.add_deferrable(now, context, limits, &mut draft);
+        let only = match &draft.selection {
+            Selection::Only(write) => Some(write),
+            Selection::AllExcept(_) => None,
         };
-        self.add_urgent(now, &mut context, &mut draft);
-        self.add_deferrable(now, &mut context, limits, &mut draft);
         if draft.builder.is_empty() {
+            // A rejected change that is no longer queued need not be kept apart.
+            only.into_iter().for_each(|write| self.rejected.remove(write));
             return None;
         }
+        self.last_was_alone = only.is_some();
         let transaction = Arc::new(draft.builder.build());
         self.in_flight = Some(InFlight::new(transaction.clone(), now, draft.content));
         Some(transaction)
--- a/src/persistence/outcome.rs
+++ b/src/persistence/outcome.rs
@@ -1,7 +1,9 @@
 //! Handling of the result of the transaction in flight.
 
 use super::inventory_groups::{groups_committed, groups_not_applied};
-use super::{PendingWrites, WriteContext, WrittenRequest};
+use super::rejected_writes::writes_of;
+use super::{PendingWrites, QueuedWrite, WriteContext, WrittenRequest};
+use crate::Millis;
 use crate::ids::{AttemptIx, MachineIx};
 use std::collections::BTreeSet;
 
@@ -26,6 +28,9 @@
             return effects;
         };
         let content = in_flight.content;
+        for write in writes_of(&content) {
+            self.rejected.remove(&write);
+        }
         self.chunks_committed(&content.chunks, &mut context, revision, &mut effects);
         self.finished_jobs_committed(&content.finished_jobs, &mut context, revision);
         self.clean_ups_committed(&content.clean_ups, &mut context, &mut effects);
@@ -34,6 +39,16 @@
         effects
     }
 
+    /// Queues all changes of the transaction in flight again, because the state service rejected
+    /// it. From now on each of them is written in a transaction of its own. Returns the change
+    /// that was rejected, if the transaction contained only one.
+    pub fn rejected(&mut self, now: Millis, context: WriteContext<'_>) -> Option<QueuedWrite> {
+        let in_flight = self.in_flight.as_ref()?;
+        let writes = writes_of(&in_flight.content);
+        self.not_applied(context);
+        self.rejected.record(now, writes)
+    }
+
     /// Queues all changes of the transaction in flight again, when it is certain that it was not
     /// applied.
     pub fn not_applied(&mut self, mut context: WriteContext<'_>) {
--- a/src/persistence/pending_writes.rs
+++ b/src/persistence/pending_writes.rs
@@ -1,6 +1,7 @@
 //! Queues of the changes that are due to be written.
 
-use super::{AnsweredRequest, InFlight};
+use super::rejected_writes::RejectedWrites;
+use super::{AnsweredRequest, InFlight, QueuedWrite};
 use crate::fleet::MachineRequestRecord;
 use crate::ids::{ChunkId, JobIx};
 use std::collections::{BTreeSet, VecDeque};
@@ -24,6 +25,10 @@
     pub(super) answered_requests: VecDeque<AnsweredRequest>,
     /// Transaction in flight, if there is one.
     pub(super) in_flight: Option<InFlight>,
+    /// Changes that the state service rejected, which are written one at a time.
+    pub(super) rejected: RejectedWrites,
+    /// Whether the last transaction contained a rejected change alone.
+    pub(super) last_was_alone: bool,
 }
 
 impl PendingWrites {
@@ -115,6 +120,13 @@
         self.deferrable_chunks.retain(|chunk| chunk.job != job);
         self.finished.remove(&job);
         self.clean_ups.remove(&job);
+        self.rejected.forget_job(job);
+    }
+
+    /// Whether the state service has rejected this change, alone or with others, and has not
+    /// accepted it since.
+    pub fn is_rejected(&self, write: &QueuedWrite) -> bool {
+        self.rejected.contains(write)
     }
 
     /// Removes a chunk from the queues, because the transaction under construction contains it
--- a/src/persistence/task_chunks.rs
+++ b/src/persistence/task_chunks.rs
@@ -2,11 +2,12 @@
 //! attempts are open. An attempt starts only after its chunk is written.
 
 use super::next_transaction::Draft;
-use super::{CommitEffects, PendingWrites, WriteContext};
+use super::transaction_builder::ChangeSet;
+use super::{CommitEffects, PendingWrites, QueuedWrite, WriteContext};
 use crate::Millis;
 use crate::ids::ChunkId;
 use crate::pipeline::{ChunkValue, Job, OpenAttemptRecord};
-use crate::wire::Change;
+use crate::store::Keys;
 use crate::workers::{Attempts, CommittedRecord, Workers};
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -14,10 +15,6 @@
 
 /// Minimum interval between two writes of a chunk if only deferrable changes are queued.
 const MIN_REWRITE_INTERVAL_MS: Millis = 1_500;
-/// Estimated size of a chunk's change, without the list of done tasks and the open attempts.
-const CHUNK_BYTES: usize = 120;
-/// Estimated size of one open attempt in a chunk's value.
-const OPEN_ATTEMPT_BYTES: usize = 60;
 
 impl PendingWrites {
     /// Adds the chunks whose write is urgent.
@@ -57,17 +54,21 @@
                 job.chunks[id.number as usize].discard_changes();
                 continue;
             }
+            if !draft.admits(&QueuedWrite::Chunk(id)) {
+                continue;
+            }
+            if !draft.builder.has_space(1) {
+                return;
+            }
             let tasks = job.tasks_of_chunk(id.number, context.jobs.tasks_per_chunk);
             let value = chunk_value(job, id.number, tasks.clone(), context.workers);
-            let bytes = CHUNK_BYTES + value.done.len() + value.open.len() * OPEN_ATTEMPT_BYTES;
-            // A single chunk always fits into a transaction without other changes.
-            if !draft.builder.has_space(1, bytes) && !draft.builder.is_empty() {
+            if !draft.builder.try_add(put_of(job, id, &value, draft.keys)) {
                 return;
             }
+            draft.content.chunks.push(id);
             self.unqueue_chunk(id);
             mark_in_flight(job, tasks, &mut context.workers.attempts);
             job.chunks[id.number as usize].write_started(now);
-            add_chunk(job, id, &value, bytes, draft);
         }
     }
 
@@ -141,16 +142,17 @@
     }
 }
 
-/// Adds the change that writes a chunk's value.
-fn add_chunk(job: &Job, id: ChunkId, value: &ChunkValue, bytes: usize, draft: &mut Draft<'_>) {
-    let key = draft.keys.task_chunk(&job.id, id.number);
+/// Returns the change that writes a chunk's value.
+fn put_of(job: &Job, id: ChunkId, value: &ChunkValue, keys: &Keys) -> ChangeSet {
+    let key = keys.task_chunk(&job.id, id.number);
     let version = job.chunks[id.number as usize].version;
-    draft.builder.require(key.clone(), version);
+    let mut set = ChangeSet::default();
+    set.require(key.clone(), version);
     // A cancellation changes the job's own key, so this condition keeps new attempts from
     // starting after it.
-    draft.builder.require(draft.keys.job(&job.id), job.key_version);
-    draft.builder.change(Change::put(key, json!(value)), bytes);
-    draft.content.chunks.push(id);
+    set.require(keys.job(&job.id), job.key_version);
+    set.put(key, json!(value));
+    set
 }
 
 /// Updates the attempts of these tasks after a commit: attempts whose records were written may
--- a/src/pipeline/chunk.rs
+++ b/src/pipeline/chunk.rs
@@ -85,6 +85,10 @@
     pub version: u64,
     /// The next attempt number, which is stored in [`ChunkValue::next_attempt`].
     pub next_attempt: u64,
+    /// Whether the state service rejected the chunk's last write because of the chunk's value.
+    is_rejected: bool,
+    /// The most open attempts that the chunk's value may list, once a value has been rejected.
+    max_open_attempts: Option<u32>,
     state: WriteState,
     /// When the last write of the chunk was built, in milliseconds of the monotonic clock; 0
     /// before the first.
@@ -97,11 +101,26 @@
         Chunk {
             version: 0,
             next_attempt: 1,
+            is_rejected: false,
+            max_open_attempts: None,
             state: WriteState::Written,
             last_write_built_at: 0,
         }
     }
 
+    /// Records that the state service rejected the chunk's value, which listed this many open
+    /// attempts. From now on it may list half as many, and at least one.
+    pub fn write_rejected(&mut self, open_attempts: u32) {
+        self.is_rejected = true;
+        self.max_open_attempts = Some((open_attempts / 2).max(1));
+    }
+
+    /// Whether another attempt may be opened. The open ones are counted only if their number
+    /// matters.
+    pub fn accepts_attempt(&self, count_open_attempts: impl FnOnce() -> u32) -> bool {
+        !self.is_rejected && self.max_open_attempts.is_none_or(|max| count_open_attempts() < max)
+    }
+
     /// Whether the key holds the current state, so that nothing has to be written.
     pub fn is_written(&self) -> bool {
         self.state == WriteState::Written
@@ -140,6 +159,7 @@
     /// version.
     pub fn write_committed(&mut self, version: u64) {
         self.version = version;
+        self.is_rejected = false;
         self.state = match self.state {
             WriteState::Written | WriteState::InFlight => WriteState::Written,
             WriteState::Changed | WriteState::ChangedInFlight => WriteState::Changed,
--- a/src/pipeline/job.rs
+++ b/src/pipeline/job.rs
@@ -205,6 +205,18 @@
         None
     }
 
+    /// Whether an attempt of this task may be opened, with regard to the value of its chunk.
+    pub fn chunk_accepts_attempt(&self, task: u32, tasks_per_chunk: u32) -> bool {
+        let number = self.chunk_index_of(task, tasks_per_chunk);
+        let Some(chunk) = self.chunks.get(number) else {
+            return false;
+        };
+        chunk.accepts_attempt(|| {
+            let tasks = self.tasks_of_chunk(number as u32, tasks_per_chunk);
+            self.open.range(tasks).count() as u32
+        })
+    }
+
     /// Records that the task returned by [`Job::next_task`] has been placed.
     pub fn mark_task_placed(&mut self, task: u32) {
         match self.retry_queue.front() {
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -155,6 +155,9 @@
             return None;
         }
         let task = job.next_task(now.monotonic)?;
+        if !job.chunk_accepts_attempt(task, self.context.jobs.tasks_per_chunk) {
+            return None;
+        }
         Some(NextTask {
             job: job_ix,
             task,
--- a/src/runtime/http_client/message.rs
+++ b/src/runtime/http_client/message.rs
@@ -58,4 +58,7 @@
     /// The request may have been executed, or may still be executed later.
     #[error("the request was sent, but no complete response arrived; it may have been executed")]
     OutcomeUnknown,
+    /// The request was executed, but its response is longer than this client reads.
+    #[error("the response is too long")]
+    ResponseTooLong,
 }
--- a/src/runtime/http_client/mod.rs
+++ b/src/runtime/http_client/mod.rs
@@ -7,7 +7,7 @@
 
 use super::sockets;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::Request;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -116,6 +116,7 @@
             status,
             body: body.to_bytes(),
         }),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RequestError::ResponseTooLong),
         Ok(Err(_)) | Err(_) => Err(RequestError::OutcomeUnknown),
     }
 }
--- a/src/runtime/peer_links/frame.rs
+++ b/src/runtime/peer_links/frame.rs
@@ -8,12 +8,18 @@
 const LENGTH_BYTES: usize = 4;
 const MAX_MESSAGE_BYTES: u32 = 2 << 20;
 
-/// Appends the frame of a message to `bytes`.
+/// Appends the frame of a message to `bytes`. A message that is too long for its receiver is left
+/// out, since the receiver would drop the link and with it all other messages.
 pub(super) fn append(bytes: &mut Vec<u8>, message: &Message) -> Result<(), LinkError> {
     let start = bytes.len();
     bytes.extend([0; LENGTH_BYTES]);
     rmp_serde::encode::write(bytes, message)?;
-    let length = (bytes.len() - start - LENGTH_BYTES) as u32;
+    let length = bytes.len() - start - LENGTH_BYTES;
+    let Some(length) = u32::try_from(length).ok().filter(|&length| length <= MAX_MESSAGE_BYTES) else {
+        tracing::error!(bytes = length, "left out a message to a peer that is too long");
+        bytes.truncate(start);
+        return Ok(());
+    };
     bytes[start..start + LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
     Ok(())
 }
--- a/src/runtime/peer_links/tests.rs
+++ b/src/runtime/peer_links/tests.rs
@@ -69,6 +69,26 @@
     );
 }
 
+/// Guards against a link that its receiver drops, together with all other messages, because of one
+/// that is too long.
+#[test]
+fn a_message_that_is_too_long_for_its_receiver_is_left_out() {
+    let answer = |length: usize| Message::ForwardReply {
+        id: 1,
+        answer: crate::peers::Answer {
+            status: 200,
+            body: "x".repeat(length),
+            retry_after_s: None,
+        },
+    };
+    let mut bytes = Vec::new();
+    frame::append(&mut bytes, &answer(1 << 20)).expect("encoded");
+    let frames = bytes.clone();
+    assert!(frames.len() > 1 << 20);
+    frame::append(&mut bytes, &answer(2 << 20)).expect("left out");
+    assert_eq!(bytes, frames);
+}
+
 /// Guards against a change of the frame format: controllers of two versions exchange frames
 /// during a rolling upgrade.
 #[test]
--- a/src/runtime/service_calls/cloud.rs
+++ b/src/runtime/service_calls/cloud.rs
@@ -40,7 +40,7 @@
         // After an unexpected response, the request may or may not have been executed.
         Ok(response) => expected_reply(request, &response).unwrap_or(CloudReply::Unanswered),
         Err(RequestError::NotSent) => CloudReply::Unavailable,
-        Err(RequestError::OutcomeUnknown) => CloudReply::Unanswered,
+        Err(RequestError::OutcomeUnknown | RequestError::ResponseTooLong) => CloudReply::Unanswered,
     }
 }
 
--- a/src/runtime/service_calls/store.rs
+++ b/src/runtime/service_calls/store.rs
@@ -3,7 +3,7 @@
 use super::{CallResult, json};
 use crate::runtime::http_client::{HttpRequest, HttpResponse, RequestError};
 use crate::store::{StoreReply, StoreRequest};
-use crate::wire::{Entry, LeaseAnswer, LeaseRequest, TransactionAnswer};
+use crate::wire::{Entry, ErrorAnswer, LeaseAnswer, LeaseRequest, TransactionAnswer};
 use bytes::Bytes;
 use hyper::Method;
 use std::time::Duration;
@@ -11,6 +11,10 @@
 /// How long to wait for a response. For a watch, the time for which the service may hold back
 /// its response is added.
 const TIMEOUT: Duration = Duration::from_millis(2_000);
+/// The error text of a transaction with a put that is attached to an expired lease.
+const NO_SUCH_LEASE: &str = "no such lease";
+/// Maximum length of the service's explanation of a rejection, which is logged.
+const MAX_REASON_BYTES: usize = 200;
 /// Maximum number of entries in one page of a list.
 const PAGE_LIMIT: u32 = 400;
 
@@ -59,7 +63,12 @@
     let response = match result {
         Ok(response) => response,
         Err(RequestError::NotSent) => return StoreReply::Unavailable,
-        Err(RequestError::OutcomeUnknown) => return StoreReply::Unanswered,
+        // A watch returns all changes at once, however many there are, but the keys can be read
+        // again in pages.
+        Err(RequestError::ResponseTooLong) if matches!(request, StoreRequest::Watch { .. }) => {
+            return StoreReply::TooOld;
+        }
+        Err(RequestError::OutcomeUnknown | RequestError::ResponseTooLong) => return StoreReply::Unanswered,
     };
     let reply = match response.status {
         429 => Some(StoreReply::Throttled),
@@ -77,6 +86,21 @@
     })
 }
 
+/// Returns the reply for a transaction that the service does not accept: a lease that one of its
+/// puts names has expired, or the transaction itself is the reason.
+fn rejection(body: &Bytes) -> StoreReply {
+    let error = json::decode::<ErrorAnswer>(body).map(|answer| answer.error);
+    match error {
+        Some(error) if error == NO_SUCH_LEASE => StoreReply::LeaseExpired,
+        error => {
+            let mut reason = error.unwrap_or_else(|| String::from_utf8_lossy(body).into_owned());
+            reason.truncate(reason.floor_char_boundary(MAX_REASON_BYTES));
+            tracing::warn!(reason, "the state service rejected a transaction");
+            StoreReply::Rejected { reason }
+        }
+    }
+}
+
 /// Returns the reply for a response that this kind of request may have, `None` for any other.
 fn expected_reply(request: &StoreRequest, response: &HttpResponse) -> Option<StoreReply> {
     let body = &response.body;
@@ -95,10 +119,7 @@
         (StoreRequest::Transact(_), 409) => {
             json::decode::<TransactionAnswer>(body).map(|answer| StoreReply::Conflict { failed: answer.failed })
         }
-        (StoreRequest::Transact(_), 400) => {
-            tracing::warn!(body = %String::from_utf8_lossy(body), "the state service refused a transaction");
-            Some(StoreReply::LeaseExpired)
-        }
+        (StoreRequest::Transact(_), 400) => Some(rejection(body)),
         (StoreRequest::Grant { .. }, 200) => {
             json::decode::<LeaseAnswer>(body).map(|answer| StoreReply::Granted { lease: answer.lease })
         }
--- a/src/runtime/service_calls/tests.rs
+++ b/src/runtime/service_calls/tests.rs
@@ -31,6 +31,28 @@
     assert_eq!(unreadable, StoreReply::Unanswered);
 }
 
+/// Guards against taking a transaction that is too large for one whose lease has expired, and
+/// against a watch that never catches up because the changes are more than the client reads.
+#[test]
+fn rejected_transactions_and_long_watch_logs_have_replies_of_their_own() {
+    let transaction = StoreRequest::Transact(Default::default());
+    let lease = store::reply(&transaction, response(400, r#"{"error":"no such lease"}"#));
+    assert_eq!(lease, StoreReply::LeaseExpired);
+    for (body, reason) in [(r#"{"error":"too large"}"#, "too large"), ("?", "?"), ("", "")] {
+        let reason = reason.to_owned();
+        let reply = store::reply(&transaction, response(400, body));
+        assert_eq!(reply, StoreReply::Rejected { reason });
+    }
+    let too_long = || Err(RequestError::ResponseTooLong);
+    let watch = StoreRequest::Watch {
+        prefix: "live/pool/".into(),
+        since: 12,
+        wait_ms: 0,
+    };
+    assert_eq!(store::reply(&watch, too_long()), StoreReply::TooOld);
+    assert_eq!(store::reply(&transaction, too_long()), StoreReply::Unanswered);
+}
+
 /// Guards against the same mistake with requests to the cloud and to workers. A response that
 /// reports a lack of capacity has a meaning of its own only for a request for machines.
 #[test]
--- a/src/runtime/service_calls/worker.rs
+++ b/src/runtime/service_calls/worker.rs
@@ -24,7 +24,7 @@
     let response = match result {
         Ok(response) => response,
         Err(RequestError::NotSent) => return WorkerReply::NotDelivered,
-        Err(RequestError::OutcomeUnknown) => return WorkerReply::Unanswered,
+        Err(RequestError::OutcomeUnknown | RequestError::ResponseTooLong) => return WorkerReply::Unanswered,
     };
     match response.status {
         200 => json::decode(&response.body).map_or(WorkerReply::Unanswered, WorkerReply::Executed),
--- a/src/settings/connection_limits.rs
+++ b/src/settings/connection_limits.rs
@@ -26,7 +26,7 @@
 /// Capacity of an event queue in addition to one report for each connection.
 const SPARE_EVENTS: usize = 1_024;
 const BYTES_PER_MB: f64 = 1e6;
-const BYTES_PER_KIB: f64 = 1024.0;
+pub(super) const BYTES_PER_KIB: f64 = 1024.0;
 
 /// The maximum number of open connections for each purpose.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -8,6 +8,7 @@
 pub use connection_limits::ConnectionLimits;
 pub use validation::{InvalidSetting, Problem};
 
+use connection_limits::BYTES_PER_KIB;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -153,6 +154,13 @@
     pub txn_ops: u32,
 }
 
+impl StoreLimits {
+    /// Returns the maximum size of a value in bytes.
+    pub fn value_bytes(&self) -> usize {
+        (self.value_kb * BYTES_PER_KIB) as usize
+    }
+}
+
 /// Limits of the cloud.
 #[derive(Clone, Debug, Deserialize)]
 pub struct CloudLimits {
--- a/src/store/requests.rs
+++ b/src/store/requests.rs
@@ -74,6 +74,12 @@
         /// The keys of the conditions that did not hold.
         failed: Vec<String>,
     },
+    /// The transaction was not applied because the service does not accept it: it is malformed or
+    /// exceeds a limit of the service. The same transaction is rejected again.
+    Rejected {
+        /// The service's explanation.
+        reason: String,
+    },
     /// A lease was granted.
     Granted {
         /// The id of the lease.
--- a/src/store/watch_cache.rs
+++ b/src/store/watch_cache.rs
@@ -33,6 +33,8 @@
     jobs: BTreeMap<String, (JobKey, u64)>,
     /// The total number of tasks of these jobs.
     tasks: u64,
+    /// The total size of the names in the descriptions of these jobs, in bytes.
+    name_bytes: usize,
     /// The full read in progress, if any.
     full_read: Option<FullRead>,
 }
@@ -121,6 +123,7 @@
         }
         let before = std::mem::take(&mut self.jobs);
         self.tasks = 0;
+        self.name_bytes = 0;
         for event in full_read.events {
             changes.extend(self.apply(keys, event));
         }
@@ -144,16 +147,24 @@
         self.tasks
     }
 
+    /// Returns the total size of the names in the descriptions of all [`WatchCache::jobs`], in
+    /// bytes.
+    pub fn name_bytes(&self) -> usize {
+        self.name_bytes
+    }
+
     /// Sets the value of a job's key and its version.
     pub fn record_job(&mut self, id: &str, key: JobKey, version: u64) {
         self.remove_job(id);
         self.tasks += u64::from(key.spec.tasks);
+        self.name_bytes += key.spec.name_bytes();
         self.jobs.insert(id.into(), (key, version));
     }
 
     fn remove_job(&mut self, id: &str) {
         if let Some((key, _)) = self.jobs.remove(id) {
             self.tasks -= u64::from(key.spec.tasks);
+            self.name_bytes -= key.spec.name_bytes();
         }
     }
 
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -13,10 +13,13 @@
 
 pub use cloud::{Catalogue, ListedMachine, MachineList, MachineNames, MachineRequest, MachineState, MachineType};
 pub use store::{
-    Change, Condition, Entry, LeaseAnswer, LeaseRequest, Page, Transaction, TransactionAnswer, WatchEvent, WatchLog,
+    Change, Condition, Entry, ErrorAnswer, LeaseAnswer, LeaseRequest, Page, Transaction, TransactionAnswer, WatchEvent,
+    WatchLog,
 };
 pub use users::{JobKind, JobSpec, JobState, JobStatus, Priority};
-pub use workers::{Command, DirectCommands, ExitReason, Redirect, Report, ReportAnswer, TaskReport, TaskState};
+pub use workers::{
+    Command, DirectCommands, ExitReason, MAX_ADDRESS_BYTES, Redirect, Report, ReportAnswer, TaskReport, TaskState,
+};
 
 #[cfg(test)]
 mod tests;
--- a/src/wire/store.rs
+++ b/src/wire/store.rs
@@ -105,6 +105,13 @@
     pub failed: Vec<String>,
 }
 
+/// The answer to a request that the state service does not accept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ErrorAnswer {
+    /// Why the request is not accepted.
+    pub error: String,
+}
+
 /// A request for a new lease.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LeaseRequest {
--- a/src/wire/users.rs
+++ b/src/wire/users.rs
@@ -94,6 +94,22 @@
     pub deadline_s: Option<f64>,
 }
 
+/// Bytes that an allowed machine type takes in addition to the letters of its name: the string in
+/// the list, and its allocation.
+const NAME_OVERHEAD_BYTES: usize = 40;
+
+impl JobSpec {
+    /// Returns the bytes that the names in this description take on the heap. They are the only
+    /// part of a description whose size its user chooses.
+    pub fn name_bytes(&self) -> usize {
+        let names = [&self.id, &self.class, &self.team, &self.image];
+        let names = names.into_iter().chain(&self.zone).map(String::len);
+        let types = self.types.iter().flatten();
+        let types = types.map(|name| name.len() + NAME_OVERHEAD_BYTES);
+        names.chain(types).sum()
+    }
+}
+
 /// State of a job.
 // The variants are renamed to the protocol's names, which are also stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/wire/workers.rs
+++ b/src/wire/workers.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// The greatest length of a worker's address: an IP address with a scope, and a port.
+pub const MAX_ADDRESS_BYTES: usize = 64;
+
 /// State of an attempt at a task, as its worker reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskState {
@@ -142,6 +145,15 @@
     },
 }
 
+impl Command {
+    /// Returns the name of the task that the command concerns.
+    pub fn task(&self) -> &str {
+        match self {
+            Command::Start { task, .. } | Command::Stop { task, .. } | Command::Forget { task, .. } => task,
+        }
+    }
+}
+
 /// The answer to a report. It renews the worker's lease.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ReportAnswer {
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -5,7 +5,7 @@
 use crate::ids::{AttemptIx, GroupIx, ImageIx, TypeIx, ZoneIx};
 use crate::resources::Offer;
 use crate::resources::Resources;
-use crate::wire::{ListedMachine, MachineState, TaskReport};
+use crate::wire::{ListedMachine, MAX_ADDRESS_BYTES, MachineState, TaskReport};
 
 /// Consecutive missed answers after which a machine is cordoned and gets no new tasks. An
 /// answer counts as missed if the next report shows no effect of it.
@@ -175,9 +175,9 @@
     }
 
     /// Sets the worker's address. If the address changed, returns the inventory group to
-    /// write again.
+    /// write again. An address that is too long to be one is ignored.
     pub(super) fn set_address(&mut self, address: &str) -> Option<GroupIx> {
-        if self.address.as_deref() == Some(address) {
+        if self.address.as_deref() == Some(address) || address.len() > MAX_ADDRESS_BYTES {
             return None;
         }
         self.address = Some(address.to_owned());
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -164,6 +164,34 @@
     assert_close_to_bound(bytes, memory::JOB_BYTES);
 }
 
+/// Guards against counting a job of any description as a plain one.
+#[test]
+fn memory_per_job_with_a_long_description_is_within_its_bound() {
+    let _guard = ALLOCATION_COUNT_LOCK.lock();
+    const LONG_JOBS: usize = 256;
+    let mut shard = empty_shard();
+    let mut watch_cache = WatchCache::default();
+    let types: Vec<String> = (0..770).map(|number| format!("yard-hauler-{number:05}")).collect();
+    // The shard keeps the names of machine types for ever, once each.
+    add_job_with_types(&mut watch_cache, &mut shard, LONG_JOBS, &types);
+    let bytes = allocated_bytes_per_item(LONG_JOBS, || {
+        for number in 0..LONG_JOBS {
+            add_job_with_types(&mut watch_cache, &mut shard, number, &types);
+        }
+    });
+    let name_bytes = watch_cache.name_bytes() / watch_cache.jobs().len();
+    assert_close_to_bound(bytes, memory::JOB_BYTES + memory::long_names_bytes(1, name_bytes));
+}
+
+/// Adds a job that allows these machine types to the watch cache and the shard.
+fn add_job_with_types(watch_cache: &mut WatchCache, shard: &mut Shard, number: usize, types: &[String]) {
+    let mut key = job_key(number, 35);
+    key.spec.types = Some(types.to_vec());
+    let id = key.spec.id.clone();
+    shard.job_changed(0, &id, &key, 1);
+    watch_cache.record_job(&id, key, 1);
+}
+
 #[test]
 fn memory_per_thousand_tasks_of_an_unfinished_job_is_within_its_bound() {
     let _guard = ALLOCATION_COUNT_LOCK.lock();
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -12,6 +12,7 @@
 mod single_faults;
 mod takeover_from_stored_state;
 mod world;
+mod write_limits;
 
 use rand::Rng;
 use rand::rngs::StdRng;
--- a/tests/rules/world/fault.rs
+++ b/tests/rules/world/fault.rs
@@ -89,6 +89,8 @@
     /// Users repeat submissions, cancel jobs that are done, and submit jobs that can't run or
     /// lack a field.
     InvalidRequests { ms: u64 },
+    /// The state service rejects every transaction that changes this key or one below it.
+    WritesRejected { key: String, ms: u64 },
     /// Requests take 15 times as long to reach the state service.
     StoreSlow { ms: u64 },
     /// New machines boot in 8 to 40 s instead of 0.5 to 8 s, and 30 % instead of 5 % of them
@@ -124,6 +126,7 @@
             | Fault::AllControllersDown { ms }
             | Fault::SouthIsolated { ms }
             | Fault::InvalidRequests { ms }
+            | Fault::WritesRejected { ms, .. }
             | Fault::StoreSlow { ms } => *ms,
             // Boots take at most 40 s. By then, the controllers have given up machines that never
             // come up.
--- a/tests/rules/world/fault_injection.rs
+++ b/tests/rules/world/fault_injection.rs
@@ -47,6 +47,7 @@
         let now = self.now;
         match fault {
             Fault::StoreOutage { ms } => self.ongoing_faults.store_outage_until = now + ms,
+            Fault::WritesRejected { key, ms } => self.store.reject_writes(key, now + ms),
             Fault::StoreSlow { ms } => self.ongoing_faults.store_slow_until = now + ms,
             Fault::DelayedTransactions { ms } => self.ongoing_faults.delayed_transactions_until = now + ms,
             Fault::CloudOutage { ms } => self.ongoing_faults.cloud_outage_until = now + ms,
--- a/tests/rules/world/store.rs
+++ b/tests/rules/world/store.rs
@@ -17,6 +17,8 @@
     leases: BTreeMap<u64, (u64, u64)>,
     /// The id of the lease granted last.
     last_lease: u64,
+    /// Keys whose changes are rejected, each with the time until which this lasts.
+    rejected: Vec<(String, u64)>,
 }
 
 impl Store {
@@ -25,6 +27,20 @@
         self.entries.keys().filter(|key| key.starts_with(prefix)).count()
     }
 
+    /// Rejects changes of this key and of those below it until the given time.
+    pub fn reject_writes(&mut self, key: String, until: u64) {
+        self.rejected.push((key, until));
+    }
+
+    /// Whether the transaction changes a key whose changes are rejected now.
+    fn is_rejected(&self, now: u64, transaction: &Transaction) -> bool {
+        transaction.changes.iter().any(|change| {
+            let (Change::Put { put: changed, .. } | Change::Delete { delete: changed }) = change;
+            let mut rejected = self.rejected.iter().filter(|&&(_, until)| now < until);
+            rejected.any(|(key, _)| changed == key || changed.starts_with(&format!("{key}/")))
+        })
+    }
+
     /// Removes expired leases and deletes their keys.
     pub fn expire_leases(&mut self, now: u64) {
         let expired: Vec<u64> = self
@@ -79,6 +95,9 @@
                 None => StoreReply::Missing,
             },
             StoreRequest::List { prefix, after } => self.list(prefix, after),
+            StoreRequest::Transact(transaction) if self.is_rejected(now, transaction) => StoreReply::Rejected {
+                reason: "a change is not accepted".into(),
+            },
             StoreRequest::Transact(transaction) => self.transact(transaction),
             StoreRequest::Grant { ttl_ms } => {
                 self.last_lease += 1;
