Close the attempts of a job cancelled while its starts were written

What callers saw: a job was cancelled while the transaction with its starts was in flight; the next job of its team waited 90 s beside an empty machine, until the leader committed something else.

Cause: jobs that were cancelled while a transaction was in flight were looked for only after a commit. The cancellation makes that transaction conflict, and its attempts, which are planned again then, stayed open.

Change: they are looked for after any outcome: committed, not applied, rejected.

`attempts_in_a_transaction_that_a_cancellation_prevents_are_closed` fails without the change.

--- a/src/controller/commits.rs
+++ b/src/controller/commits.rs
@@ -163,7 +163,7 @@
     /// write.
     fn commit_not_applied(&mut self) {
         if let Some(shard) = &mut self.shard {
-            shard.not_applied();
+            shard.not_applied(self.now);
         }
         self.refresh_watch_cache();
     }
@@ -173,7 +173,7 @@
     fn reload_after_conflict(&mut self) {
         tracing::warn!("reloading the shard");
         if let Some(shard) = &mut self.shard {
-            shard.not_applied();
+            shard.not_applied(self.now);
         }
         self.term_raise.request_reload_now();
     }
--- a/src/controller/shard/attempts.rs
+++ b/src/controller/shard/attempts.rs
@@ -100,8 +100,8 @@
         }
     }
 
-    /// Stops all open attempts of every cancelled job. After a transaction, this stops the
-    /// attempts of jobs that were cancelled while it was in flight.
+    /// Stops all open attempts of every cancelled job. After a transaction, whether it was applied
+    /// or not, this stops the attempts in it whose job was cancelled while it was in flight.
     pub fn stop_cancelled_jobs(&mut self, now: Millis) {
         for ix in self.jobs.table.indices() {
             let job = self.jobs.table.get(ix);
--- a/src/controller/shard/tests/reports.rs
+++ b/src/controller/shard/tests/reports.rs
@@ -52,7 +52,7 @@
     });
     assert_eq!(record, Some(serde_json::json!([])));
     // The transaction was not applied: it is built again, and the resources stay reserved.
-    shard.not_applied();
+    shard.not_applied(MINUTE_MS);
     assert_eq!(
         (open_attempt_count(shard), shard.jobs.team_quotas[0].used.cpus),
         (1, used)
--- a/src/controller/shard/tests/transactions.rs
+++ b/src/controller/shard/tests/transactions.rs
@@ -93,12 +93,44 @@
 fn changes_that_were_not_applied_are_written_again() {
     let mut shard = shard_with_open_tasks(2);
     let first = next_transaction(&mut shard, MAX_CHANGES).expect("a transaction");
-    shard.not_applied();
+    shard.not_applied(10_000);
     assert!(shard.has_urgent_writes());
     let second = next_transaction(&mut shard, MAX_CHANGES).expect("another transaction");
     assert_eq!(first, second);
 }
 
+/// Returns the CPUs that the only team uses, as the leader counts them.
+fn used_cpus(shard: &Shard) -> f64 {
+    shard.jobs.team_quotas[0].used.cpus
+}
+
+/// Guards against attempts of a cancelled job that keep their room until the leader writes something
+/// else: the job was cancelled while the transaction with their starts was in flight, and the
+/// transaction conflicted (see docs/incidents/room-of-a-job-cancelled-during-its-starts.md).
+#[test]
+fn attempts_in_a_transaction_that_a_cancellation_prevents_are_closed() {
+    for was_rejected in [false, true] {
+        let mut shard = shard_with_open_tasks(2);
+        next_transaction(&mut shard, MAX_CHANGES).expect("a transaction");
+        let job = shard.jobs.table.find("j-1").expect("known job");
+        let cancelled = JobKey {
+            spec: shard.jobs.table.get(job).expect("known job").spec.clone(),
+            accepted_ms: 0,
+            ended: Some(JobState::Cancelled),
+        };
+        shard.job_changed(10_000, "j-1", &cancelled, 8);
+        assert_eq!(open_attempts(&shard).len(), 2, "they may be written");
+        if was_rejected {
+            shard.rejected(10_100);
+        } else {
+            shard.not_applied(10_100);
+        }
+        assert!(open_attempts(&shard).is_empty());
+        assert_eq!(used_cpus(&shard), 0.0);
+        assert!(shard.pending_writes.is_clean_up_queued(job));
+    }
+}
+
 /// Returns a shard with a finished job whose end is not written yet. Chunks 1 to 3 of the job are
 /// stored in the state service.
 fn shard_with_finished_job() -> Shard {
@@ -146,7 +178,7 @@
         deleted_keys(&first),
         [1, 2].map(|number| keys().task_chunk("j-1", number))
     );
-    shard.not_applied();
+    shard.not_applied(10_000);
     assert_eq!(next_transaction(&mut shard, 4).expect("another transaction"), first);
     shard.committed(10_000, 10);
     let second = next_transaction(&mut shard, 4).expect("a transaction");
@@ -189,7 +221,7 @@
     let both = next_transaction(&mut shard, MAX_CHANGES).expect("a transaction");
     assert_eq!(put_keys(&both), [keys().machine_group("5-0")]);
     assert_eq!(deleted_keys(&both), [keys().machine_request("pool-5-0")]);
-    shard.not_applied();
+    shard.not_applied(10_000);
     assert_eq!(
         next_transaction(&mut shard, MAX_CHANGES).expect("another transaction"),
         both
--- a/src/controller/shard/transactions.rs
+++ b/src/controller/shard/transactions.rs
@@ -61,10 +61,11 @@
     }
 
     /// Queues the changes of the transaction in flight again, when it is certain that it was not
-    /// applied.
-    pub fn not_applied(&mut self) {
+    /// applied. Closes the attempts in it whose job was cancelled meanwhile.
+    pub fn not_applied(&mut self, now: Millis) {
         let (pending_writes, context) = self.write_context();
         pending_writes.not_applied(context);
+        self.stop_cancelled_jobs(now);
     }
 
     /// Handles the rejection of the transaction in flight by the state service. Its changes are
@@ -78,6 +79,7 @@
         if let Some(QueuedWrite::Chunk(chunk)) = &rejected {
             self.shrink_chunk(now, *chunk);
         }
+        self.stop_cancelled_jobs(now);
         rejected
     }
 
