Answer a repeated cancellation only with a confirmed end

Cause: the end is cached when that wait begins, and any cached end answered a cancellation. It also replaced the answer of a cancellation that failed.

Change: the cache knows which ends are confirmed, and a cancellation is answered at once only with one of these.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -121,21 +121,24 @@
     }
 
     /// Returns the answer if it can be given without waiting: the job's end, which is final,
-    /// or the rejection because of too many pending requests. A cancellation is answered only
-    /// with a cached end: an end that is only in the watch cache must first be confirmed by the
-    /// other controllers.
+    /// or the rejection because of too many pending requests.
     fn immediate_answer(&self, watch_cache: &WatchCache, job_request: &JobRequest) -> Option<Answer> {
-        let job_id = &job_request.job_id;
-        let end = match job_request.kind {
-            JobRequestKind::Cancellation => self.end_cache.get(job_id),
-            _ => self.known_end(watch_cache, job_id),
-        };
-        if let Some(end) = end {
-            return Some(answers::ended(job_id, end));
+        if let Some(end) = self.reportable_end(watch_cache, job_request) {
+            return Some(answers::ended(&job_request.job_id, end));
         }
         (self.pending.len() >= MAX_PENDING).then(|| Unavailable::TooManyRequests.answer())
     }
 
+    /// Returns how the job ended, if this controller knows it and may report it in answer to this
+    /// request at once. A cancellation is answered only with an end that the other controllers have
+    /// confirmed.
+    fn reportable_end(&self, watch_cache: &WatchCache, job_request: &JobRequest) -> Option<EndValue> {
+        match job_request.kind {
+            JobRequestKind::Cancellation => self.end_cache.get_confirmed(&job_request.job_id),
+            _ => self.known_end(watch_cache, &job_request.job_id),
+        }
+    }
+
     /// Returns how a job ended, if this controller knows it.
     fn known_end(&self, watch_cache: &WatchCache, job_id: &str) -> Option<EndValue> {
         self.end_cache
@@ -182,7 +185,12 @@
             _ => return Vec::new(),
         }
         if let Some(end) = answers::end_in_answer(&answer) {
-            self.end_cache.insert(&request.job_request.job_id, end);
+            let job_request = &request.job_request;
+            match job_request.kind {
+                // The other controller has answered only after it was confirmed.
+                JobRequestKind::Cancellation => self.end_cache.insert_confirmed(&job_request.job_id, end),
+                _ => self.end_cache.insert(&job_request.job_id, end),
+            }
         }
         self.finish(context, request_id, answer)
     }
@@ -209,13 +217,14 @@
 
     /// Answers a pending request. If the job's end has become known in the meantime, it
     /// replaces the given answer: users of this controller may already have seen the end,
-    /// and no older state may be reported after it.
+    /// and no older state may be reported after it. A cancellation that can't be answered with a
+    /// confirmed end keeps its answer, after which its user repeats it.
     fn finish(&mut self, context: &AdmissionContext<'_>, request_id: u64, answer: Answer) -> Vec<AdmissionEffect> {
         let Some(request) = self.pending.remove(&request_id) else {
             return Vec::new();
         };
         let job_id = &request.job_request.job_id;
-        let answer = match self.known_end(context.watch_cache, job_id) {
+        let answer = match self.reportable_end(context.watch_cache, &request.job_request) {
             Some(end) => {
                 let final_answer = answers::ended(job_id, end);
                 if final_answer.body != answer.body {
--- a/src/admission/peer_confirmations.rs
+++ b/src/admission/peer_confirmations.rs
@@ -86,8 +86,9 @@
                 unconfirmed,
                 answer_at,
             } if unconfirmed.is_empty() || context.now >= *answer_at => {
-                let answer = answers::ended(&request.job_request.job_id, *end);
-                self.finish(context, request_id, answer)
+                let (job_id, end) = (request.job_request.job_id.clone(), *end);
+                self.end_cache.insert_confirmed(&job_id, end);
+                self.finish(context, request_id, answers::ended(&job_id, end))
             }
             _ => Vec::new(),
         }
--- a/src/controller/tests/job_end_answers.rs
+++ b/src/controller/tests/job_end_answers.rs
@@ -124,9 +124,9 @@
     }
 }
 
-/// Known to fail, see KNOWN-RED.txt. The end is remembered when the wait for the other controllers
-/// begins, and a repeated cancellation is answered immediately with the remembered end, before the
-/// other controllers know of it. The end should be remembered only when it is reported to a user.
+/// Guards against an end that is remembered when the wait for the other controllers begins: a
+/// repeated cancellation was answered immediately with it, before the other controllers knew of
+/// the end.
 #[test]
 fn repeated_cancellation_waits_for_peers_like_the_first() {
     let mut fixture = Fixture::new(page_with_job(), None);
@@ -134,3 +134,24 @@
     let repeated = fixture.send_user_request(SUBMISSION, UserRequest::Cancel(JOB.into()));
     assert_eq!(answer_to(&repeated, SUBMISSION), None);
 }
+
+/// Like [`repeated_cancellation_waits_for_peers_like_the_first`], if the repeated one can't be read
+/// for: its user is asked to repeat it.
+#[test]
+fn repeated_cancellation_whose_read_fails_is_not_answered_with_an_unconfirmed_end() {
+    let mut fixture = Fixture::new(page_with_job(), None);
+    fixture.commit_cancellation();
+    let read = last_store_call(&fixture.send_user_request(SUBMISSION, UserRequest::Cancel(JOB.into())));
+    let outputs = fixture.reply(read, StoreReply::Unavailable);
+    assert_eq!(answer_to(&outputs, SUBMISSION).map(|answer| answer.status), Some(503));
+}
+
+/// Guards against a repeated cancellation that waits although the first one was answered.
+#[test]
+fn repeated_cancellation_is_answered_at_once_after_the_first() {
+    let mut fixture = Fixture::new(page_with_job(), None);
+    let committed = fixture.commit_cancellation();
+    fixture.answer_from_peer(&committed, "aborted");
+    let repeated = fixture.send_user_request(SUBMISSION, UserRequest::Cancel(JOB.into()));
+    assert_eq!(standing_in_answer(&repeated, SUBMISSION).as_deref(), Some("aborted"));
+}
