--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -16,6 +16,7 @@
 mod heartbeat_reports;
 mod machines;
 mod network;
+mod ongoing_faults;
 mod scheduled_event;
 mod setup;
 mod state_service;
@@ -26,6 +27,7 @@
 mod worker;
 
 pub use fault::Fault;
+use ongoing_faults::OngoingFaults;
 pub use users::{KnownState, RequestKind, UserJob};
 
 use scheduled_event::{Caller, PendingRequest, ScheduledEvent};
@@ -94,35 +96,6 @@
     healthy: bool,
 }
 
-/// The end of each ongoing fault of a service, the network or the users.
-#[derive(Default)]
-struct OngoingFaults {
-    /// Until when the state service is unavailable; 0 while there is no outage.
-    store_outage_until: u64,
-    /// Until when requests take 15 times as long to reach the state service.
-    store_slow_until: u64,
-    /// Until when the cloud refuses every request.
-    cloud_outage_until: u64,
-    /// Until when controllers can't exchange messages.
-    peer_messages_dropped_until: u64,
-    /// Until when copies of some reports are made, which arrive late.
-    duplicate_reports_until: u64,
-    /// Until when some transactions get no answer and are applied late.
-    delayed_transactions_until: u64,
-    /// Until when half of the direct commands get no answer and some of these arrive late.
-    delayed_commands_until: u64,
-    /// Until when half of the answers to reports arrive late.
-    delayed_answers_until: u64,
-    /// Until when half of the jobs are cancelled just after their last task ends.
-    cancel_at_end_until: u64,
-    /// Until when users send invalid requests.
-    invalid_requests_until: u64,
-    /// Until when the zone `south` is isolated.
-    south_isolated_until: u64,
-    /// Until when new machines boot slowly or not at all.
-    slow_boots_until: u64,
-}
-
 /// The simulated cluster, together with the records that the rules are checked against.
 pub struct World {
     /// Simulated time in milliseconds since the start of the run.
