--- a/src/controller/shard/tests/reports.rs
+++ b/src/controller/shard/tests/reports.rs
@@ -3,22 +3,24 @@
 use super::worker_fixture::*;
 use crate::Millis;
 use crate::controller::Shard;
+use crate::ids::MachineIx;
 use crate::store::Keys;
 use crate::wire::{Change, Command, Condition, ExitReason, Report, TaskState};
 use crate::workers::{MergeOutcome, RecordState, ReportPath};
 
 const MINUTE_MS: Millis = 60_000;
 
+/// Makes the only attempt on the machine unwanted.
+fn stop_only_attempt(shard: &mut Shard, machine: MachineIx) {
+    let ix = machine_of(shard, machine).open[0];
+    let attempt = shard.workers.attempts.get_mut(ix).expect("open attempt");
+    attempt.stop_grace_s = Some(0.0);
+}
+
 #[test]
 fn absence_from_a_report_proves_nothing_while_a_start_may_arrive() {
     let (mut shard, machine) = shard_with_worker();
-    let attempt = machine_of(&shard, machine).open[0];
-    shard
-        .workers
-        .attempts
-        .get_mut(attempt)
-        .expect("open attempt")
-        .stop_grace_s = Some(0.0);
+    stop_only_attempt(&mut shard, machine);
     machine_of_mut(&mut shard, machine).unconfirmed_start_term = 5;
     shard.merge_report(MINUTE_MS, &report(1, 2, 5, Vec::new()), ReportPath::Heartbeat);
     assert_eq!(open_attempt_count(&shard), 1);
@@ -77,17 +79,11 @@
 fn a_late_command_reply_does_not_show_that_an_answered_start_was_dropped() {
     let (mut shard, machine) = shard_with_worker();
     shard.commands_for_answer(1_000, machine);
-    let attempt = machine_of(&shard, machine).open[0];
-    shard
-        .workers
-        .attempts
-        .get_mut(attempt)
-        .expect("open attempt")
-        .stop_grace_s = Some(0.0);
+    stop_only_attempt(&mut shard, machine);
     let reply_to = |commands_sent_at| ReportPath::CommandReply { commands_sent_at };
     shard.merge_report(6_000, &report(1, 2, 5, Vec::new()), reply_to(1_100));
-    let record = shard.workers.attempts.get(attempt).expect("open attempt").record;
-    assert_eq!(record, RecordState::Written);
+    let (_, attempt) = shard.workers.attempts.iter().next().expect("open attempt");
+    assert_eq!(attempt.record, RecordState::Written);
     // These commands reached the worker after it had dropped the answer.
     shard.merge_report(MINUTE_MS, &report(1, 3, 5, Vec::new()), reply_to(5_600));
     assert_closed_once_its_record_is_removed(&mut shard);
@@ -98,13 +94,7 @@
 #[test]
 fn unconfirmed_starts_of_earlier_terms_need_no_higher_term() {
     let (mut shard, machine) = shard_with_worker();
-    let attempt = machine_of(&shard, machine).open[0];
-    shard
-        .workers
-        .attempts
-        .get_mut(attempt)
-        .expect("open attempt")
-        .stop_grace_s = Some(0.0);
+    stop_only_attempt(&mut shard, machine);
     machine_of_mut(&mut shard, machine).unconfirmed_start_term = 4;
     shard.merge_report(MINUTE_MS, &report(1, 2, 4, Vec::new()), ReportPath::Heartbeat);
     assert_eq!(open_attempt_count(&shard), 1);
--- a/src/persistence/pending_writes.rs
+++ b/src/persistence/pending_writes.rs
@@ -1,7 +1,7 @@
 //! Queues of the changes that are due to be written.
 
 use super::rejected_writes::RejectedWrites;
-use super::{AnsweredRequest, InFlight, QueuedWrite};
+use super::{AnsweredRequest, InFlight};
 use crate::fleet::MachineRequestRecord;
 use crate::ids::{ChunkId, JobIx};
 use std::collections::{BTreeSet, VecDeque};
@@ -123,12 +123,6 @@
         self.rejected.forget_job(job);
     }
 
-    /// Whether the state service has rejected this change, alone or with others, and has not
-    /// accepted it since.
-    pub fn is_rejected(&self, write: &QueuedWrite) -> bool {
-        self.rejected.contains(write)
-    }
-
     /// Removes a chunk from the queues, because the transaction under construction contains it
     /// or it need not be written.
     pub(super) fn unqueue_chunk(&mut self, chunk: ChunkId) {
