Review case 5: an older answer after a job was called done

Cause: an end by done is told by a poll at once, while another controller may still answer an older question from a read that it made before.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -10,6 +10,8 @@
 
 #[path = "../4/case.rs"]
 mod case_4;
+#[path = "../5/case.rs"]
+mod case_5;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -31,6 +33,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match number.as_str() {
         "4" => case_4::run(&root, &folder, trouble),
+        "5" => case_5::run(&root, &folder, trouble),
         _ => Outcome::CouldNotRun,
     };
     exit(match outcome {
