Review case 6: an idle machine is kept for a job that never fits on it

Cause: the reservation for a job that has waited long takes the machine with the most free CPUs, whether or not the job's tasks fit on a machine of its type. Change: the case with its test.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -12,6 +12,8 @@
 mod case_4;
 #[path = "../5/case.rs"]
 mod case_5;
+#[path = "../6/case.rs"]
+mod case_6;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -34,6 +36,7 @@
     let outcome = match number.as_str() {
         "4" => case_4::run(&root, &folder, trouble),
         "5" => case_5::run(&root, &folder, trouble),
+        "6" => case_6::run(&root, &folder, trouble),
         _ => Outcome::CouldNotRun,
     };
     exit(match outcome {
