Review cases 4 to 6: order, records, and ends of processes

Controllers end with the script, whatever ends it, and listen below the ports for outgoing connections. Case 4 records every poll.

--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -112,8 +112,8 @@
         let (name, address) = &self.nodes[node];
         let answer = call(*address, "GET", &format!("/v1/jobs/{id}"), "", Duration::from_secs(2));
         let status = answer.as_ref().map(|(status, _)| *status);
+        self.record.line(&format!("user: polls {id} at {name}: {answer:?}"));
         if status == Some(404) {
-            self.record.line(&format!("user: polls {id} at {name}: {answer:?}"));
             let mut forgotten = self.forgotten.lock().expect("forgotten");
             if forgotten.is_empty() {
                 self.record.say(&format!("forgotten: the accepted {id} is answered 404 by {name}"));
--- a/review/standins-2/cluster.rs
+++ b/review/standins-2/cluster.rs
@@ -3,6 +3,7 @@
 use crate::record::Record;
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -24,13 +25,33 @@
     record: Arc<Record>,
 }
 
-/// Free loopback addresses.
+/// Free loopback addresses, on ports that the system doesn't give to outgoing connections, so that a
+/// controller finds its own free again when it is restarted.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+    let first = 20_000 + (std::process::id() % 500 * 24) as u16;
+    let ports = (first..32_000).chain(20_000..first);
+    let listeners = ports.filter_map(|port| TcpListener::bind(("127.0.0.1", port)).ok()).take(count);
+    let listeners: Vec<TcpListener> = listeners.collect();
     listeners.iter().map(|listener| listener.local_addr().expect("an address")).collect()
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
+/// Makes the system kill the process when this one ends, also when it is killed.
+fn end_with_this_process(command: &mut Command) {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // Nothing but a system call between fork and exec.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        });
+    }
+}
+
 impl Cluster {
     /// Prepares `listen.len()` controllers. `peer_route[i][j]` is the address by which controller
     /// `i` reaches `j`.
@@ -81,7 +102,9 @@
     /// Starts a controller. Its log goes to the temporary folder.
     pub fn start(&self, node: usize) {
         let log = fs::OpenOptions::new().create(true).append(true).open(self.log(node)).expect("a log");
-        let child = Command::new(self.root.join(&self.command[0]))
+        let mut command = Command::new(self.root.join(&self.command[0]));
+        end_with_this_process(&mut command);
+        let child = command
             .args(&self.command[1..])
             .arg(self.folder.join(format!("{node}.toml")))
             .env("LOG_LEVEL", std::env::var("LOG_LEVEL").unwrap_or("info".into()))
@@ -108,20 +131,6 @@
         }
     }
 
-    /// Sends a signal, such as `STOP` or `CONT`.
-    pub fn signal(&self, node: usize, signal: &str) {
-        if let Some(child) = &*self.processes[node].lock().expect("process") {
-            let status = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
-            self.record.say(&format!("stall-{node}: SIG{signal}, sent {}", status.is_ok_and(|status| status.success())));
-        }
-    }
-
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&self, node: usize) -> bool {
-        let mut process = self.processes[node].lock().expect("process");
-        process.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
-    }
-
     /// The controller that last logged that it took over, among those that run.
     pub fn leader(&self) -> Option<usize> {
         let taken = |node: usize| {
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -91,6 +91,40 @@
     }
 }
 
+/// A connection that a user keeps open.
+pub struct Connection {
+    address: SocketAddr,
+    reader: BufReader<TcpStream>,
+}
+
+impl Connection {
+    pub fn open(address: SocketAddr) -> Option<Connection> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_millis(500)).ok()?;
+        let _ = stream.set_nodelay(true);
+        Some(Connection { address, reader: BufReader::new(stream) })
+    }
+
+    /// Sends a request without a body and reads the answer. `None` without a complete one in time.
+    pub fn get(&mut self, path: &str, timeout: Duration) -> Option<(u16, String)> {
+        self.reader.get_ref().set_read_timeout(Some(timeout)).ok()?;
+        let request = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", self.address);
+        self.reader.get_mut().write_all(request.as_bytes()).ok()?;
+        read_answer(&mut self.reader)
+    }
+}
+
+fn read_answer(reader: &mut BufReader<TcpStream>) -> Option<(u16, String)> {
+    let mut line = String::new();
+    if reader.read_line(&mut line).ok()? == 0 {
+        return None;
+    }
+    let status = line.split_whitespace().nth(1)?.parse().ok()?;
+    let (_, length) = read_headers(reader)?;
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some((status, String::from_utf8(body).ok()?))
+}
+
 /// Sends one request on a connection of its own. `None` without a complete answer in time.
 pub fn call(address: SocketAddr, method: &str, path: &str, body: &str, timeout: Duration) -> Option<(u16, String)> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(500)).ok()?;
@@ -101,14 +135,5 @@
         body.len()
     );
     stream.write_all(request.as_bytes()).ok()?;
-    let mut reader = BufReader::new(stream);
-    let mut line = String::new();
-    if reader.read_line(&mut line).ok()? == 0 {
-        return None;
-    }
-    let status = line.split_whitespace().nth(1)?.parse().ok()?;
-    let (_, length) = read_headers(&mut reader)?;
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    Some((status, String::from_utf8(body).ok()?))
+    read_answer(&mut BufReader::new(stream))
 }
--- a/review/standins-2/json.rs
+++ b/review/standins-2/json.rs
@@ -32,13 +32,6 @@
         }
     }
 
-    pub fn f64(&self, name: &str) -> Option<f64> {
-        match self.get(name)? {
-            Json::Num(text) => text.parse().ok(),
-            _ => None,
-        }
-    }
-
     pub fn u64(&self, name: &str) -> Option<u64> {
         match self.get(name)? {
             Json::Num(text) => text.parse().ok(),
--- a/review/standins-2/state.rs
+++ b/review/standins-2/state.rs
@@ -67,6 +67,8 @@
     latency_ms: u64,
     /// Milliseconds that answers take in addition on the way to each controller.
     pub extra_ms: Vec<AtomicU64>,
+    /// Until when answers to each controller are held back.
+    pub hold_until: Vec<Mutex<Option<Instant>>>,
     /// Where requests are recorded, if they are.
     pub trace: Mutex<Option<Arc<crate::record::Record>>>,
 }
@@ -99,6 +101,7 @@
             txn_ops: limits.txn_ops,
             latency_ms: limits.latency_ms,
             extra_ms: (0..nodes).map(|_| AtomicU64::new(0)).collect(),
+            hold_until: (0..nodes).map(|_| Mutex::new(None)).collect(),
             trace: Mutex::new(None),
         });
         let addresses = (0..nodes).map(|node| serve(state.clone().handler(node))).collect();
@@ -128,6 +131,11 @@
                 let query: Vec<String> = request.query.iter().map(|(key, value)| format!("{key}={value}")).collect();
                 trace.line(&format!("state: stall-{node} {} {}?{} {body}: {}", request.method, request.path, query.join("&"), answer.0));
             }
+            loop {
+                let until = *self.hold_until[node].lock().expect("hold");
+                let Some(left) = until.and_then(|until| until.checked_duration_since(Instant::now())) else { break };
+                thread::sleep(left);
+            }
             let extra = self.extra_ms[node].load(Ordering::SeqCst);
             thread::sleep(Duration::from_millis(self.latency_ms + extra));
             Some(answer)
