Review case 7: a refusal counts as a confirmation of a cancellation

Cause: any answer of another controller counts as its confirmation, also the 503 of one with 400 requests in hand, which does not wait for the older reads of the same controller.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -14,6 +14,8 @@
 mod case_5;
 #[path = "../6/case.rs"]
 mod case_6;
+#[path = "../7/case.rs"]
+mod case_7;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -37,6 +39,7 @@
         "4" => case_4::run(&root, &folder, trouble),
         "5" => case_5::run(&root, &folder, trouble),
         "6" => case_6::run(&root, &folder, trouble),
+        "7" => case_7::run(&root, &folder, trouble),
         _ => Outcome::CouldNotRun,
     };
     exit(match outcome {
