Trial: a repeated submission outlives the wait for a silent controller

Change: a script beside the cases. It is no case, since the answers have to be held back for just under 2 s.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -16,6 +16,8 @@
 mod case_6;
 #[path = "../7/case.rs"]
 mod case_7;
+#[path = "../trials-2/repeated_submission.rs"]
+mod repeated_submission;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -40,6 +42,7 @@
         "5" => case_5::run(&root, &folder, trouble),
         "6" => case_6::run(&root, &folder, trouble),
         "7" => case_7::run(&root, &folder, trouble),
+        "repeated_submission" => repeated_submission::run(&root, &folder, trouble),
         _ => Outcome::CouldNotRun,
     };
     exit(match outcome {
