Count a page or a "too old" only for the read that asked for it

Cause: a full read of the watched keys takes several requests. A question that came between two pages made the controller ask for the changes since revision 0; the service no longer keeps these (410), and `WatchCache::invalidate` dropped the pages read so far while the chain of page requests went on. The next page was taken for the first of a new read, and the last one completed the cache without the jobs of the dropped pages.

Why this works: a full read has a number, and pages, failures, changes and "too old" name the read or the position that they belong to, so what belongs to an abandoned read can't do anything. No changes are asked for while the cache is incomplete; questions wait for the full read, and are answered 503 at once if it fails. A job that this controller wrote while the pages were read keeps its newer value.

The simulated state service keeps 200 changes now instead of all, and Fault::CloseLooks lets users ask all controllers, also one that has just started.

--- a/src/admission/confirmations.rs
+++ b/src/admission/confirmations.rs
@@ -71,6 +71,23 @@
         effects
     }
 
+    /// Handles a confirming read whose reply no longer fits the watch cache, which is being read
+    /// as a whole: the requests that it serves wait for the next confirming read.
+    pub fn confirming_read_superseded(&mut self, number: u64) {
+        for request_id in self.finish_read(number) {
+            self.await_confirming_read(request_id);
+        }
+    }
+
+    /// Handles the failure of a full read of the watch cache, for which the next confirming read
+    /// waits: answers the requests that wait for that one.
+    pub fn full_read_failed(&mut self, context: &AdmissionContext<'_>) -> Vec<AdmissionEffect> {
+        match self.confirming_reads.take_next() {
+            Some(number) => self.confirming_read_failed(context, number),
+            None => Vec::new(),
+        }
+    }
+
     /// Marks the read with this number as finished and returns the ids of the requests that it
     /// serves.
     fn finish_read(&mut self, number: u64) -> Vec<u64> {
--- a/src/controller/load_progress.rs
+++ b/src/controller/load_progress.rs
@@ -6,11 +6,13 @@
 /// total time, since a full and slow store may need long and a new attempt would take just as long.
 const STALL_TIMEOUT_MS: Millis = 5_000;
 
-/// The times of the start of loading and of the last reply with data.
+/// The times of the start of loading and of the last reply with data, and when the jobs are loaded.
 #[derive(Debug, Default)]
 pub(super) struct LoadProgress {
     started_at: Millis,
     last_reply_at: Millis,
+    /// From when on the jobs are to be loaded from the watch cache, once it is complete.
+    jobs_due: Option<Millis>,
 }
 
 impl LoadProgress {
@@ -18,6 +20,17 @@
     pub(super) fn start(&mut self, now: Millis) {
         self.started_at = now;
         self.last_reply_at = now;
+        self.jobs_due = None;
+    }
+
+    /// Schedules the loading of the jobs from the watch cache.
+    pub(super) fn schedule_jobs(&mut self, not_before: Millis) {
+        self.jobs_due = Some(not_before);
+    }
+
+    /// Returns whether the jobs are to be loaded now, and if so marks that as begun.
+    pub(super) fn take_jobs_due(&mut self, now: Millis) -> bool {
+        self.jobs_due.take_if(|not_before| now >= *not_before).is_some()
     }
 
     /// Records a reply that contains data.
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -199,9 +199,8 @@
         self.advance_watch_cache();
         self.advance_election();
         self.advance_leader();
-        if let Some(read) = self.admission.take_confirming_read() {
-            self.refresh_for_admission(read);
-        }
+        self.advance_loading();
+        self.send_confirming_read();
         self.send_queued();
     }
 
--- a/src/controller/store_purpose.rs
+++ b/src/controller/store_purpose.rs
@@ -2,6 +2,7 @@
 
 use super::commits;
 use crate::Millis;
+use crate::store::{FullReadId, WatchPosition};
 use crate::wire::Transaction;
 use std::sync::Arc;
 
@@ -20,17 +21,21 @@
     /// Reads the claim after a conflict, to see whether this controller made it.
     CheckClaim,
     /// Reads a page of all watched keys, to fill the watch cache.
-    ReadWatchCache,
-    /// Waits for changes to the watched keys.
-    Watch,
+    ReadWatchCache(FullReadId),
+    /// Waits for changes to the watched keys since this position.
+    Watch(WatchPosition),
     /// Reads the latest changes to the watched keys, to bring the watch cache up to date.
     RefreshWatchCache {
+        position: WatchPosition,
         /// The number of the confirming read, if admission requested this one.
         admission_read: Option<u64>,
         sent_at: Millis,
     },
     /// Reads a page of the state that a new leader loads.
     Load(LoadStage),
+    /// Brings the watch cache to a revision after the claim, so that a new leader can load the jobs
+    /// from it.
+    LoadJobs(WatchPosition),
     /// Applies the leader's transaction in flight.
     Commit,
     /// Reads the evidence key, to see whether the transaction in flight was applied.
@@ -45,15 +50,14 @@
     Resign,
 }
 
-/// The stages of loading by a new leader, in this order.
+/// The parts of the state that a new leader reads in pages, in this order. The jobs are loaded before
+/// the task chunks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LoadStage {
     /// The groups of machines in the inventory.
     Machines,
     /// Machine requests that the cloud may not have answered yet.
     MachineRequests,
-    /// The watched keys, up to a revision after the claim.
-    WatchCache,
     /// The open attempts and done tasks of jobs, in chunks of tasks.
     TaskChunks,
 }
@@ -64,6 +68,7 @@
         matches!(
             self,
             Purpose::Load(_)
+                | Purpose::LoadJobs(_)
                 | Purpose::Commit
                 | Purpose::CheckCommit(_)
                 | Purpose::CheckClaim
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -3,10 +3,11 @@
 //! Pages are read one at a time, so that heartbeats and lease renewals are handled in between.
 
 use super::store_calls::RETRY_MS;
+use super::watching::WatchOutcome;
 use super::{Controller, LoadStage, Purpose};
 use crate::Millis;
 use crate::election::Phase;
-use crate::store::{StoreReply, StoreRequest, strip_key_prefix};
+use crate::store::{StoreReply, StoreRequest, WatchPosition, strip_key_prefix};
 use crate::wire::{Entry, Page};
 
 /// Delay before the next claim after loading was aborted.
@@ -18,7 +19,6 @@
         let prefix = match stage {
             LoadStage::Machines => self.keys.machine_groups(),
             LoadStage::MachineRequests => self.keys.machine_requests(),
-            LoadStage::WatchCache => self.keys.watched(),
             LoadStage::TaskChunks => self.keys.task_chunks(),
         };
         self.enqueue(Purpose::Load(stage), StoreRequest::List { prefix, after });
@@ -29,29 +29,15 @@
         if self.election.phase() != Phase::Loading {
             return;
         }
-        if matches!(reply, StoreReply::Page(_) | StoreReply::WatchLog(_)) {
-            self.load_progress.reply_received(self.now);
-        }
-        if stage == LoadStage::WatchCache && self.load_jobs(&reply) {
-            self.load_page(LoadStage::TaskChunks, String::new());
-            return;
-        }
         match reply {
-            StoreReply::Page(page) => self.on_loaded_page(stage, &page),
-            _ => self.retry_load(stage, request),
+            StoreReply::Page(page) => {
+                self.load_progress.reply_received(self.now);
+                self.on_loaded_page(stage, &page);
+            }
+            _ => self.enqueue_after(RETRY_MS, Purpose::Load(stage), request.clone()),
         }
     }
 
-    /// Sends a failed request again after a delay. A watch starts at the watch cache's current
-    /// revision, which may have changed.
-    fn retry_load(&mut self, stage: LoadStage, request: &StoreRequest) {
-        let request = match stage {
-            LoadStage::WatchCache => self.watch_request(0),
-            _ => request.clone(),
-        };
-        self.enqueue_after(RETRY_MS, Purpose::Load(stage), request);
-    }
-
     /// Loads the entries of a page, then requests the next page or the next stage.
     fn on_loaded_page(&mut self, stage: LoadStage, page: &Page) {
         if self.shard.is_none() {
@@ -75,7 +61,6 @@
                 shard.load_group(self.now, strip_key_prefix(entry, &self.keys.machine_groups()), entry)
             }
             LoadStage::MachineRequests => shard.load_machine_request(entry),
-            LoadStage::WatchCache => {}
             LoadStage::TaskChunks => self.load_task_chunk(entry),
         }
     }
@@ -99,29 +84,41 @@
     fn load_next_stage(&mut self, stage: LoadStage) {
         match stage {
             LoadStage::Machines => self.load_page(LoadStage::MachineRequests, String::new()),
-            // The watch cache must be newer than the claim before the `TaskChunks` stage starts.
-            LoadStage::MachineRequests => {
-                let request = self.watch_request(0);
-                self.enqueue(Purpose::Load(LoadStage::WatchCache), request);
-            }
-            LoadStage::WatchCache => {}
+            LoadStage::MachineRequests => self.load_progress.schedule_jobs(self.now),
             LoadStage::TaskChunks => self.on_loaded(),
         }
     }
 
-    /// Applies the reply to the watch cache update of the loading sequence and adds the jobs to
-    /// the shard. Returns whether the watch cache is up to date.
-    fn load_jobs(&mut self, reply: &StoreReply) -> bool {
-        if !self.apply_watch_log(reply.clone()) {
-            return false;
+    /// Requests the changes that bring the watch cache past the claim, if the jobs are to be loaded
+    /// from it and it is complete.
+    pub(super) fn advance_loading(&mut self) {
+        if self.election.phase() == Phase::Loading
+            && let Some(position) = self.watch_cache.position()
+            && self.load_progress.take_jobs_due(self.now)
+        {
+            self.enqueue(Purpose::LoadJobs(position), self.watch_request(position, 0));
         }
+    }
+
+    /// Loads the jobs from the watch cache, which this reply brings past the claim, and then requests
+    /// their task chunks. Without the reply, the changes are requested again.
+    pub(super) fn on_load_jobs_reply(&mut self, position: WatchPosition, reply: StoreReply) {
+        if self.election.phase() != Phase::Loading {
+            return;
+        }
+        if self.apply_watch_log(position, reply) != WatchOutcome::UpToDate {
+            self.load_progress.schedule_jobs(self.now + RETRY_MS);
+            return;
+        }
+        self.load_progress.reply_received(self.now);
+        // Applying the changes may have shown the claim of another controller.
         let Some(shard) = &mut self.shard else {
-            return false;
+            return;
         };
         for (id, (key, version)) in self.watch_cache.jobs() {
             shard.job_changed(self.now, id, key, *version);
         }
-        true
+        self.load_page(LoadStage::TaskChunks, String::new());
     }
 
     /// Completes loading: this controller starts to act as the leader.
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -9,6 +9,7 @@
 mod job_end_answers;
 mod large_jobs;
 mod user_fixture;
+mod watch_cache_reads;
 
 fn at(monotonic: Millis) -> Now {
     Now {
--- a/src/controller/watch_state.rs
+++ b/src/controller/watch_state.rs
@@ -31,27 +31,22 @@
 /// The state of the requests that fill the watch cache and keep it up to date.
 #[derive(Debug, Default)]
 pub(super) struct WatchState {
-    /// The full read of the watched keys.
-    read: PacedRequest,
+    /// The earliest time of the next full read of the watched keys.
+    read_not_before: Millis,
     /// The request that waits for changes.
     watch: PacedRequest,
     refresh_sent_at: Millis,
 }
 
 impl WatchState {
-    /// Returns whether a full read is due, and if so marks it as started.
-    pub(super) fn take_read_due(&mut self, now: Millis) -> bool {
-        self.read.take_due(now)
-    }
-
-    /// Records that the full read is complete.
-    pub(super) fn read_complete(&mut self) {
-        self.read.in_flight = false;
+    /// Returns whether a full read may be started.
+    pub(super) fn is_read_due(&self, now: Millis) -> bool {
+        now >= self.read_not_before
     }
 
     /// Records that the full read failed. The next one is due at `not_before` at the earliest.
     pub(super) fn read_failed(&mut self, not_before: Millis) {
-        self.read.pause_until(not_before);
+        self.read_not_before = not_before;
     }
 
     /// Returns whether a watch is due, and if so marks it as sent.
--- a/src/controller/watching.rs
+++ b/src/controller/watching.rs
@@ -2,7 +2,7 @@
 
 use super::{Controller, Purpose};
 use crate::Millis;
-use crate::store::{StoreReply, StoreRequest, WatchedChange};
+use crate::store::{FullReadId, PageOutcome, StoreReply, StoreRequest, WatchPosition, WatchedChange};
 use crate::wire::Catalogue;
 
 /// How long the state service holds a watch request open while there are no changes.
@@ -12,117 +12,167 @@
 /// Delay before a failed read or watch is retried.
 const RETRY_MS: Millis = 300;
 
+/// What the reply to a watch request did to the watch cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WatchOutcome {
+    /// The watch cache holds all changes that were made before the request was executed.
+    UpToDate,
+    /// The state service answered, but the watch cache does not continue from where the request
+    /// asked for changes.
+    Superseded,
+    /// The state service did not answer, or refused the request.
+    Failed,
+}
+
 impl Controller {
     /// Sends the requests for the watch cache that are due.
     pub(super) fn advance_watch_cache(&mut self) {
-        if !self.watch_cache.is_complete() {
-            if self.watch_state.take_read_due(self.now) {
-                self.read_watch_cache(String::new());
-            }
+        let Some(position) = self.watch_cache.position() else {
+            self.advance_full_read();
             return;
-        }
+        };
         if self.watch_state.take_watch_due(self.now) {
-            self.enqueue(Purpose::Watch, self.watch_request(WATCH_WAIT_MS));
+            self.enqueue(Purpose::Watch(position), self.watch_request(position, WATCH_WAIT_MS));
         }
         if self.watch_state.is_refresh_due(self.now) {
             self.refresh_watch_cache();
         }
     }
 
+    /// Starts a full read of the watched keys if none is in progress and one is due.
+    fn advance_full_read(&mut self) {
+        if !self.watch_cache.is_being_read() && self.watch_state.is_read_due(self.now) {
+            let read = self.watch_cache.begin_full_read();
+            self.read_watch_cache_page(read, String::new());
+        }
+    }
+
     /// Requests the page of a full read that follows the key `after`.
-    fn read_watch_cache(&mut self, after: String) {
+    fn read_watch_cache_page(&mut self, read: FullReadId, after: String) {
         let prefix = self.keys.watched();
-        self.enqueue(Purpose::ReadWatchCache, StoreRequest::List { prefix, after });
+        self.enqueue(Purpose::ReadWatchCache(read), StoreRequest::List { prefix, after });
     }
 
-    /// Requests the latest changes for the watch cache.
+    /// Requests the latest changes for the watch cache. While it is not complete, the full read
+    /// that is due or in progress brings it up to date instead.
     pub(super) fn refresh_watch_cache(&mut self) {
-        self.send_refresh(None);
+        if let Some(position) = self.watch_cache.position() {
+            self.send_refresh(position, None);
+        }
     }
 
-    /// Requests the latest changes for the watch cache as the confirming read with number `read`
-    /// of admission.
-    pub(super) fn refresh_for_admission(&mut self, read: u64) {
-        self.send_refresh(Some(read));
+    /// Sends the confirming read that admission waits for, if any. It waits until the watch cache is
+    /// complete, since changes alone don't bring an incomplete one up to date.
+    pub(super) fn send_confirming_read(&mut self) {
+        if let Some(position) = self.watch_cache.position()
+            && let Some(read) = self.admission.take_confirming_read()
+        {
+            self.send_refresh(position, Some(read));
+        }
     }
 
-    fn send_refresh(&mut self, admission_read: Option<u64>) {
+    fn send_refresh(&mut self, position: WatchPosition, admission_read: Option<u64>) {
         self.watch_state.refresh_sent(self.now);
         let purpose = Purpose::RefreshWatchCache {
+            position,
             admission_read,
             sent_at: self.now,
         };
-        self.enqueue(purpose, self.watch_request(0));
+        self.enqueue(purpose, self.watch_request(position, 0));
     }
 
-    /// Builds a request for the changes to the watched keys since the watch cache's revision. The
-    /// service waits up to `wait_ms` for a change if there is none yet.
-    pub(super) fn watch_request(&self, wait_ms: u64) -> StoreRequest {
+    /// Builds a request for the changes to the watched keys since this position. The service waits
+    /// up to `wait_ms` for a change if there is none yet.
+    pub(super) fn watch_request(&self, position: WatchPosition, wait_ms: u64) -> StoreRequest {
         StoreRequest::Watch {
             prefix: self.keys.watched(),
-            since: self.watch_cache.revision(),
+            since: position.revision(),
             wait_ms,
         }
     }
 
     /// Handles the reply to a watch.
-    pub(super) fn on_watch_reply(&mut self, reply: StoreReply) {
-        let is_up_to_date = self.apply_watch_log(reply);
-        let pause = if is_up_to_date { WATCH_PAUSE_MS } else { RETRY_MS };
+    pub(super) fn on_watch_reply(&mut self, position: WatchPosition, reply: StoreReply) {
+        let pause = match self.apply_watch_log(position, reply) {
+            WatchOutcome::UpToDate => WATCH_PAUSE_MS,
+            WatchOutcome::Superseded | WatchOutcome::Failed => RETRY_MS,
+        };
         self.watch_state.watch_answered(self.now + pause);
     }
 
     /// Handles the reply to the refresh that was sent at `sent_at`. User requests may wait for it
     /// if it is a confirming read of admission.
-    pub(super) fn on_refreshed(&mut self, admission_read: Option<u64>, sent_at: Millis, reply: StoreReply) {
-        let is_up_to_date = self.apply_watch_log(reply);
-        if is_up_to_date {
+    pub(super) fn on_refreshed(
+        &mut self,
+        position: WatchPosition,
+        admission_read: Option<u64>,
+        sent_at: Millis,
+        reply: StoreReply,
+    ) {
+        let outcome = self.apply_watch_log(position, reply);
+        if outcome == WatchOutcome::UpToDate {
             self.on_watch_cache_read(sent_at);
         }
-        if let Some(read) = admission_read {
-            let effects = self.with_admission(|admission, context| {
-                if is_up_to_date {
-                    admission.confirming_read_done(context, read)
-                } else {
-                    admission.confirming_read_failed(context, read)
-                }
-            });
-            self.apply_effects(effects);
-        }
+        let Some(read) = admission_read else {
+            return;
+        };
+        let effects = self.with_admission(|admission, context| match outcome {
+            WatchOutcome::UpToDate => admission.confirming_read_done(context, read),
+            WatchOutcome::Superseded => {
+                admission.confirming_read_superseded(read);
+                Vec::new()
+            }
+            WatchOutcome::Failed => admission.confirming_read_failed(context, read),
+        });
+        self.apply_effects(effects);
     }
 
     /// Handles a page of a full read, and requests the next one if there is one.
-    pub(super) fn on_watch_cache_page(&mut self, request: &StoreRequest, reply: StoreReply) {
+    pub(super) fn on_watch_cache_page(&mut self, read: FullReadId, reply: StoreReply) {
         let StoreReply::Page(page) = reply else {
-            self.watch_cache.invalidate();
-            self.watch_state.read_failed(self.now + RETRY_MS);
+            if self.watch_cache.fail_full_read(read) {
+                self.on_full_read_failed();
+            }
             return;
         };
-        let last_key = page.items.last().map(|entry| entry.key.clone());
-        match (self.watch_cache.apply_page(&self.keys, page), last_key) {
-            (Some(changes), _) => {
-                self.watch_state.read_complete();
-                self.on_watched_changes(changes);
+        self.load_progress.reply_received(self.now);
+        match self.watch_cache.apply_page(&self.keys, read, page) {
+            PageOutcome::Abandoned => {}
+            PageOutcome::Continues { after } => self.read_watch_cache_page(read, after),
+            PageOutcome::Malformed => {
+                tracing::error!("received an empty page that is marked as not the last");
+                self.on_full_read_failed();
             }
-            (None, Some(after)) => self.read_watch_cache(after),
-            (None, None) => tracing::error!(?request, "received an empty page that is marked as not the last"),
+            PageOutcome::Complete(changes) => self.on_watched_changes(changes),
         }
     }
 
-    /// Applies the reply to a watch request to the watch cache. Returns whether the watch cache is
-    /// up to date.
-    pub(super) fn apply_watch_log(&mut self, reply: StoreReply) -> bool {
+    /// Schedules the next full read. Requests that wait for the watch cache are answered now, since
+    /// the state service can't be read at present.
+    fn on_full_read_failed(&mut self) {
+        self.watch_state.read_failed(self.now + RETRY_MS);
+        let effects = self.with_admission(|admission, context| admission.full_read_failed(context));
+        self.apply_effects(effects);
+    }
+
+    /// Applies the reply to a watch request to the watch cache.
+    pub(super) fn apply_watch_log(&mut self, position: WatchPosition, reply: StoreReply) -> WatchOutcome {
         match reply {
-            StoreReply::WatchLog(log) if self.watch_cache.is_complete() => {
-                let changes = self.watch_cache.apply_log(&self.keys, log.revision, log.events);
+            StoreReply::WatchLog(log) => {
+                let applied = self
+                    .watch_cache
+                    .apply_log(&self.keys, position, log.revision, log.events);
+                let Some(changes) = applied else {
+                    return WatchOutcome::Superseded;
+                };
                 self.on_watched_changes(changes);
-                true
+                WatchOutcome::UpToDate
             }
             StoreReply::TooOld => {
-                self.watch_cache.invalidate();
-                false
+                self.watch_cache.too_old(position);
+                WatchOutcome::Superseded
             }
-            _ => false,
+            _ => WatchOutcome::Failed,
         }
     }
 
--- a/src/election/tests.rs
+++ b/src/election/tests.rs
@@ -15,7 +15,9 @@
         more: false,
         revision: 0,
     };
-    watch_cache.apply_page(keys, page).expect("the last page");
+    let read = watch_cache.begin_full_read();
+    watch_cache.apply_page(keys, read, page);
+    assert!(watch_cache.is_complete());
     watch_cache
 }
 
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -13,4 +13,4 @@
 pub use requests::{StoreReply, StoreRequest};
 pub use token_bucket::TokenBucket;
 pub use values::{EndValue, JobKey, LeaderValue, TermValue};
-pub use watch_cache::{WatchCache, WatchedChange};
+pub use watch_cache::{FullReadId, PageOutcome, WatchCache, WatchPosition, WatchedChange};
--- a/src/store/watch_cache.rs
+++ b/src/store/watch_cache.rs
@@ -18,12 +18,65 @@
     JobRemoved(String),
 }
 
+/// The number of a full read of the watched keys. Every page belongs to the read that requested
+/// it, and every watch to the read whose result it continues from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FullReadId(u64);
+
+/// A state of the watch cache, from which a watch request asks for changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchPosition {
+    full_read: FullReadId,
+    revision: u64,
+}
+
+impl WatchPosition {
+    /// Returns the revision after which changes are requested.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+}
+
+/// What follows from a page of a full read.
+#[derive(Debug, PartialEq)]
+pub enum PageOutcome {
+    /// The read was abandoned before the page arrived, so the page was ignored.
+    Abandoned,
+    /// The read goes on with the page after this key.
+    Continues {
+        /// The last key of the page.
+        after: String,
+    },
+    /// The page has no keys, although it is marked as not the last one. The read was abandoned.
+    Malformed,
+    /// The read is complete and the cache holds its result.
+    Complete(Vec<WatchedChange>),
+}
+
+/// How much of the watched keys the cache holds.
+#[derive(Debug, Default)]
+enum Contents {
+    /// Changes may have been missed, and no full read is in progress.
+    #[default]
+    Outdated,
+    /// A full read is in progress.
+    Reading(FullRead),
+    /// A full read has succeeded and no changes have been missed since.
+    Complete,
+}
+
 /// A copy of the watched keys as of `revision`.
+///
+/// A full read takes several requests. It is abandoned when the cache is invalidated, and the
+/// replies that arrive for it afterwards must not count for the next one: its pages, and the
+/// replies to watches that continued from an earlier read, are recognized by their
+/// [`FullReadId`] and ignored.
 #[derive(Debug, Default)]
 pub struct WatchCache {
     revision: u64,
-    /// Whether a full read has succeeded and no changes have been missed since.
-    complete: bool,
+    contents: Contents,
+    /// The full read that was started last.
+    last_full_read: FullReadId,
     /// The leader's claim and the version of its key.
     leader: Option<(LeaderValue, u64)>,
     /// The highest term and the version of its key.
@@ -35,19 +88,29 @@
     tasks: u64,
     /// The total size of the names in the descriptions of these jobs, in bytes.
     name_bytes: usize,
-    /// The full read in progress, if any.
-    full_read: Option<FullRead>,
 }
 
 /// A full read of the watched keys that is in progress.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct FullRead {
-    /// The revision of the first page.
-    revision: u64,
+    /// The revision of the first page, once it has been read.
+    first_revision: Option<u64>,
     /// The keys read so far, represented as puts.
     events: Vec<WatchEvent>,
 }
 
+impl FullRead {
+    fn add(&mut self, page: Page) {
+        self.first_revision.get_or_insert(page.revision);
+        self.events.extend(page.items.into_iter().map(|entry| WatchEvent {
+            put: Some(entry.key),
+            delete: None,
+            value: entry.value,
+            version: entry.version,
+        }));
+    }
+}
+
 /// A change of a key: a put or a removal.
 enum KeyChange {
     Put { key: String, value: Value },
@@ -77,7 +140,21 @@
     /// Returns whether the cache holds all watched keys. False until the first full read, and
     /// again after [`WatchCache::invalidate`].
     pub fn is_complete(&self) -> bool {
-        self.complete
+        matches!(self.contents, Contents::Complete)
+    }
+
+    /// Returns whether a full read is in progress.
+    pub fn is_being_read(&self) -> bool {
+        matches!(self.contents, Contents::Reading(_))
+    }
+
+    /// Returns the position from which changes can be requested, or `None` while the cache is
+    /// not complete.
+    pub fn position(&self) -> Option<WatchPosition> {
+        self.is_complete().then_some(WatchPosition {
+            full_read: self.last_full_read,
+            revision: self.revision,
+        })
     }
 
     /// Returns the leader's claim, if there is one, and the version of its key.
@@ -95,24 +172,44 @@
         self.catalogue.as_ref()
     }
 
-    /// Adds one page of a full read. Applies the read and returns the changes if it is the last
-    /// page, and returns `None` otherwise.
-    pub fn apply_page(&mut self, keys: &Keys, page: Page) -> Option<Vec<WatchedChange>> {
-        let full_read = self.full_read.get_or_insert_with(|| FullRead {
-            revision: page.revision,
-            events: Vec::new(),
-        });
-        full_read.events.extend(page.items.into_iter().map(|entry| WatchEvent {
-            put: Some(entry.key),
-            delete: None,
-            value: entry.value,
-            version: entry.version,
-        }));
-        if page.more {
-            return None;
+    /// Starts a full read, and abandons the one in progress, if any.
+    pub fn begin_full_read(&mut self) -> FullReadId {
+        self.last_full_read.0 += 1;
+        self.contents = Contents::Reading(FullRead::default());
+        self.last_full_read
+    }
+
+    /// Adds one page of a full read, and applies the read if it is the last page.
+    pub fn apply_page(&mut self, keys: &Keys, read: FullReadId, page: Page) -> PageOutcome {
+        let Contents::Reading(full_read) = &mut self.contents else {
+            return PageOutcome::Abandoned;
+        };
+        if read != self.last_full_read {
+            return PageOutcome::Abandoned;
+        }
+        let more = page.more;
+        let last_key = page.items.last().map(|entry| entry.key.clone());
+        full_read.add(page);
+        match last_key {
+            Some(after) if more => PageOutcome::Continues { after },
+            None if more => {
+                self.invalidate();
+                PageOutcome::Malformed
+            }
+            _ => {
+                let full_read = std::mem::take(full_read);
+                PageOutcome::Complete(self.replace_all(keys, full_read))
+            }
+        }
+    }
+
+    /// Abandons a full read of which a page could not be read. Returns whether it was in progress.
+    pub fn fail_full_read(&mut self, read: FullReadId) -> bool {
+        let was_in_progress = self.is_being_read() && read == self.last_full_read;
+        if was_in_progress {
+            self.contents = Contents::Outdated;
         }
-        let full_read = self.full_read.take()?;
-        Some(self.replace_all(keys, full_read))
+        was_in_progress
     }
 
     /// Replaces the cached jobs and claim with those of a full read, and returns the changes.
@@ -127,15 +224,28 @@
         for event in full_read.events {
             changes.extend(self.apply(keys, event));
         }
-        let removed = before.into_keys().filter(|id| !self.jobs.contains_key(id));
-        changes.extend(removed.map(WatchedChange::JobRemoved));
         // Later pages may be newer than the first one. Applying the log from the revision of
         // the first page makes the cache consistent.
-        self.revision = full_read.revision;
-        self.complete = true;
+        self.revision = full_read.first_revision.unwrap_or(self.revision);
+        self.contents = Contents::Complete;
+        for (id, (key, version)) in before {
+            changes.extend(self.keep_or_remove(id, key, version));
+        }
         changes
     }
 
+    /// Keeps a job that was cached before a full read and is newer than what the read shows: this
+    /// controller wrote it while the pages were being read. A job that the read lacks for another
+    /// reason was removed.
+    fn keep_or_remove(&mut self, id: String, key: JobKey, version: u64) -> Option<WatchedChange> {
+        let read_version = self.jobs.get(&id).map(|&(_, version)| version);
+        if version > self.revision && read_version.is_none_or(|read_version| read_version < version) {
+            self.record_job(&id, key, version);
+            return None;
+        }
+        read_version.is_none().then_some(WatchedChange::JobRemoved(id))
+    }
+
     /// Returns, by id, the unfinished jobs and the ended jobs that have not been cleaned up yet,
     /// each with the version of its key.
     pub fn jobs(&self) -> &BTreeMap<String, (JobKey, u64)> {
@@ -168,16 +278,34 @@
         }
     }
 
-    /// Marks the cache as incomplete, so that a full read is started, because changes have been
-    /// missed or a full read has failed.
+    /// Marks the cache as incomplete, because changes may have been missed, and abandons the full
+    /// read in progress, if any.
     pub fn invalidate(&mut self) {
-        self.complete = false;
-        self.full_read = None;
+        self.contents = Contents::Outdated;
     }
 
-    /// Applies all changes after a revision that the cache has already reached, up to `revision`.
-    /// Returns the changes that the controller may have to react to.
-    pub fn apply_log(&mut self, keys: &Keys, revision: u64, events: Vec<WatchEvent>) -> Vec<WatchedChange> {
+    /// Handles the reply that the service no longer keeps all changes after `position`. Only a
+    /// cache that is still there has missed changes: since the request was sent, another reply or
+    /// a full read may have brought it past them.
+    pub fn too_old(&mut self, position: WatchPosition) {
+        if self.position() == Some(position) {
+            self.invalidate();
+        }
+    }
+
+    /// Applies all changes after `position`, up to `revision`. Returns the changes that the
+    /// controller may have to react to, or `None` if the cache does not continue from that
+    /// position any more, because a full read was started since.
+    pub fn apply_log(
+        &mut self,
+        keys: &Keys,
+        position: WatchPosition,
+        revision: u64,
+        events: Vec<WatchEvent>,
+    ) -> Option<Vec<WatchedChange>> {
+        if !self.is_complete() || position.full_read != self.last_full_read {
+            return None;
+        }
         let known = self.revision;
         let mut changes = Vec::new();
         for event in events {
@@ -187,7 +315,7 @@
             }
         }
         self.revision = self.revision.max(revision);
-        changes
+        Some(changes)
     }
 
     fn apply(&mut self, keys: &Keys, event: WatchEvent) -> Option<WatchedChange> {
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -12,7 +12,7 @@
 use sumacbend::policy::Policy;
 use sumacbend::settings::Settings;
 use sumacbend::store::{JobKey, Keys, WatchCache};
-use sumacbend::wire::{Catalogue, JobState, MachineType, Report, TaskReport, WatchEvent};
+use sumacbend::wire::{Catalogue, JobState, MachineType, Page, Report, TaskReport, WatchEvent};
 use sumacbend::workers::ReportPath;
 
 #[global_allocator]
@@ -216,6 +216,14 @@
 fn watch_cache_with_jobs(jobs: usize, ended: Option<JobState>) -> WatchCache {
     let keys = Keys::new("pool");
     let mut watch_cache = WatchCache::default();
+    let read = watch_cache.begin_full_read();
+    let page = Page {
+        items: Vec::new(),
+        more: false,
+        revision: 0,
+    };
+    watch_cache.apply_page(&keys, read, page);
+    let position = watch_cache.position().expect("a complete watch cache");
     for number in 0..jobs {
         let key = JobKey {
             ended,
@@ -227,7 +235,8 @@
             value: json!(key),
             version: number as u64 + 1,
         };
-        watch_cache.apply_log(&keys, number as u64 + 1, vec![event]);
+        let changes = watch_cache.apply_log(&keys, position, number as u64 + 1, vec![event]);
+        assert!(changes.is_some());
     }
     watch_cache
 }
--- a/tests/rules/meetings/mod.rs
+++ b/tests/rules/meetings/mod.rs
@@ -4,6 +4,7 @@
 //! runs the seeds from 0 to 399.
 
 mod cancellations;
+mod close_looks;
 mod leader_changes;
 mod random_faults;
 mod state_service_outages;
--- a/tests/rules/world/event_dispatch.rs
+++ b/tests/rules/world/event_dispatch.rs
@@ -30,9 +30,10 @@
                 self.step_cluster();
                 self.schedule(self.now + 100, ScheduledEvent::ClusterStep);
             }
-            ScheduledEvent::UserTurn(_) | ScheduledEvent::ExtraUserRequest(_) | ScheduledEvent::UserAnswered { .. } => {
-                self.dispatch_to_user(event);
-            }
+            ScheduledEvent::UserTurn(_)
+            | ScheduledEvent::ExtraUserRequest(_)
+            | ScheduledEvent::PollAt { .. }
+            | ScheduledEvent::UserAnswered { .. } => self.dispatch_to_user(event),
             ScheduledEvent::Fault(fault) => self.inject_fault(fault),
         }
     }
@@ -104,6 +105,7 @@
                 self.send_user_request(job);
             }
             ScheduledEvent::ExtraUserRequest(job) => self.send_user_request(job),
+            ScheduledEvent::PollAt { node, job } => self.poll_at(node, job),
             ScheduledEvent::UserAnswered {
                 job,
                 kind,
--- a/tests/rules/world/fault.rs
+++ b/tests/rules/world/fault.rs
@@ -93,6 +93,9 @@
     WritesRejected { key: String, ms: u64 },
     /// Requests take 15 times as long to reach the state service.
     StoreSlow { ms: u64 },
+    /// Users ask all running controllers about accepted jobs again and again, and at once when the
+    /// state that they know of a job changes.
+    CloseLooks { ms: u64 },
     /// New machines boot in 8 to 40 s instead of 0.5 to 8 s, and 30 % instead of 5 % of them
     /// never come up.
     SlowBoots { ms: u64 },
@@ -127,7 +130,8 @@
             | Fault::SouthIsolated { ms }
             | Fault::InvalidRequests { ms }
             | Fault::WritesRejected { ms, .. }
-            | Fault::StoreSlow { ms } => *ms,
+            | Fault::StoreSlow { ms }
+            | Fault::CloseLooks { ms } => *ms,
             // Boots take at most 40 s. By then, the controllers have given up machines that never
             // come up.
             Fault::SlowBoots { ms } => ms + 40_000,
--- a/tests/rules/world/fault_injection.rs
+++ b/tests/rules/world/fault_injection.rs
@@ -48,6 +48,7 @@
         match fault {
             Fault::StoreOutage { ms } => self.ongoing_faults.store_outage_until = now + ms,
             Fault::WritesRejected { key, ms } => self.store.reject_writes(key, now + ms),
+            Fault::CloseLooks { ms } => self.ongoing_faults.close_looks_until = now + ms,
             Fault::StoreSlow { ms } => self.ongoing_faults.store_slow_until = now + ms,
             Fault::DelayedTransactions { ms } => self.ongoing_faults.delayed_transactions_until = now + ms,
             Fault::CloudOutage { ms } => self.ongoing_faults.cloud_outage_until = now + ms,
--- a/tests/rules/world/heartbeat_reports.rs
+++ b/tests/rules/world/heartbeat_reports.rs
@@ -19,6 +19,7 @@
         self.check_users_answered();
         self.check_starvation();
         self.send_invalid_requests();
+        self.look_closely();
         if self.now >= self.ongoing_faults.store_outage_until && self.ongoing_faults.store_outage_until > 0 {
             self.ongoing_faults.store_outage_until = 0;
             self.store.refresh_leases(self.now);
--- a/tests/rules/world/ongoing_faults.rs
+++ b/tests/rules/world/ongoing_faults.rs
@@ -23,6 +23,8 @@
     pub(super) cancel_at_end_until: u64,
     /// Until when users send invalid requests.
     pub(super) invalid_requests_until: u64,
+    /// Until when users ask all controllers about accepted jobs.
+    pub(super) close_looks_until: u64,
     /// Until when the zone `south` is isolated.
     pub(super) south_isolated_until: u64,
     /// Until when new machines boot slowly or not at all.
--- a/tests/rules/world/scheduled_event.rs
+++ b/tests/rules/world/scheduled_event.rs
@@ -58,6 +58,8 @@
     UserTurn(usize),
     /// A single request of a job's user between the periodic ones.
     ExtraUserRequest(usize),
+    /// A job's user asks this controller about the job.
+    PollAt { node: usize, job: usize },
     /// The answer to a request reaches the user.
     UserAnswered {
         job: usize,
--- a/tests/rules/world/store.rs
+++ b/tests/rules/world/store.rs
@@ -1,9 +1,13 @@
 //! A simulated state service that follows the published protocol.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use sumacbend::store::{StoreReply, StoreRequest};
 use sumacbend::wire::{Change, Entry, Page, Transaction, WatchEvent, WatchLog};
 
+/// The number of changes that the service keeps. It is small, so that controllers that were down or
+/// cut off for some seconds have to read the keys again.
+const KEPT_CHANGES: usize = 200;
+
 /// The contents of the state service: keys, leases and the log of changes.
 #[derive(Default)]
 pub struct Store {
@@ -11,8 +15,10 @@
     entries: BTreeMap<String, (serde_json::Value, u64, Option<u64>)>,
     /// The revision of the last change. Each transaction and each expired key increments it.
     pub revision: u64,
-    /// All changes so far, oldest first.
-    log: Vec<WatchEvent>,
+    /// The last changes, oldest first.
+    log: VecDeque<WatchEvent>,
+    /// The revision of the last change that is no longer kept.
+    forgotten_revision: u64,
     /// Time to live and expiry time of each lease, in milliseconds.
     leases: BTreeMap<u64, (u64, u64)>,
     /// The id of the lease granted last.
@@ -74,7 +80,7 @@
     /// Deletes a key, if it exists, at the current revision.
     fn delete(&mut self, key: &str) {
         if self.entries.remove(key).is_some() {
-            self.log.push(WatchEvent {
+            self.append_to_log(WatchEvent {
                 put: None,
                 delete: Some(key.into()),
                 value: serde_json::Value::Null,
@@ -83,6 +89,16 @@
         }
     }
 
+    /// Adds a change to the log, and drops the oldest one if there are too many.
+    fn append_to_log(&mut self, event: WatchEvent) {
+        self.log.push_back(event);
+        if self.log.len() > KEPT_CHANGES
+            && let Some(oldest) = self.log.pop_front()
+        {
+            self.forgotten_revision = oldest.version;
+        }
+    }
+
     /// Executes one request at `now` and returns the reply.
     pub fn execute(&mut self, now: u64, request: &StoreRequest) -> StoreReply {
         self.expire_leases(now);
@@ -144,8 +160,12 @@
         })
     }
 
-    /// Returns the changes after revision `since` to keys that start with `prefix`.
+    /// Returns the changes after revision `since` to keys that start with `prefix`, if all changes
+    /// after that revision are still kept.
     fn changes_since(&self, prefix: &str, since: u64) -> StoreReply {
+        if since < self.forgotten_revision {
+            return StoreReply::TooOld;
+        }
         let events = self.log.iter().filter(|event| event.version > since);
         let events = events.filter(|event| {
             let key = event.put.as_ref().or(event.delete.as_ref());
@@ -204,7 +224,7 @@
             match change {
                 Change::Put { put, value, lease } => {
                     self.entries.insert(put.clone(), (value.clone(), self.revision, *lease));
-                    self.log.push(WatchEvent {
+                    self.append_to_log(WatchEvent {
                         put: Some(put.clone()),
                         delete: None,
                         value: value.clone(),
--- a/tests/rules/world/user_answers.rs
+++ b/tests/rules/world/user_answers.rs
@@ -39,6 +39,9 @@
         if job.known_state != reported {
             job.known_state = reported;
             job.known_since = now;
+            if now < self.ongoing_faults.close_looks_until {
+                self.poll_everywhere(index);
+            }
         }
     }
 
--- a/tests/rules/world/users.rs
+++ b/tests/rules/world/users.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+/// The number of jobs whose users ask all controllers in a cluster step during
+/// [`Fault::CloseLooks`].
+const JOBS_LOOKED_AT: usize = 3;
+
 /// The state of a job that its user knows from the latest answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum KnownState {
@@ -169,6 +173,45 @@
         self.step_controller(node, Input::User { request, user_request });
     }
 
+    /// During [`Fault::CloseLooks`], makes the users of some accepted jobs ask all controllers.
+    /// Called at every cluster step.
+    pub(super) fn look_closely(&mut self) {
+        if self.now >= self.ongoing_faults.close_looks_until {
+            return;
+        }
+        let accepted = (0..self.jobs.len()).filter(|&index| self.jobs[index].known_state == KnownState::Accepted);
+        let accepted: Vec<usize> = accepted.collect();
+        if accepted.is_empty() {
+            return;
+        }
+        for _ in 0..JOBS_LOOKED_AT {
+            let job = accepted[self.rng.random_range(0..accepted.len())];
+            self.poll_everywhere(job);
+        }
+    }
+
+    /// Makes a job's user ask each controller about it within 100 ms.
+    pub(super) fn poll_everywhere(&mut self, job: usize) {
+        for node in 0..self.nodes.len() {
+            let at = self.now + self.rng.random_range(0..100);
+            self.schedule(at, ScheduledEvent::PollAt { node, job });
+        }
+    }
+
+    /// Sends a poll of a job's user to this controller. Nothing is sent if the controller is isolated,
+    /// down or frozen.
+    pub(super) fn poll_at(&mut self, node: usize, job: usize) {
+        if self.now < self.isolated_until(node).max(self.nodes[node].frozen_until)
+            || self.nodes[node].controller.is_none()
+        {
+            return;
+        }
+        let user_request = UserRequest::Show(self.jobs[job].spec.id.clone());
+        let kind = RequestKind::Poll;
+        let request = self.register_request(node, PendingRequest::User { job, kind });
+        self.step_controller(node, Input::User { request, user_request });
+    }
+
     /// Returns the next request of a job's user. One poll in twenty asks about an unknown job.
     fn next_request_of_user(&mut self, index: usize) -> (RequestKind, UserRequest) {
         let job = &mut self.jobs[index];
