--- a/src/admission/answers.rs
+++ b/src/admission/answers.rs
@@ -9,7 +9,9 @@
 
 const STATUS_OK: u16 = 200;
 const STATUS_CREATED: u16 = 201;
+const STATUS_BAD_REQUEST: u16 = 400;
 const STATUS_NOT_FOUND: u16 = 404;
+const STATUS_UNPROCESSABLE: u16 = 422;
 const STATUS_UNAVAILABLE: u16 = 503;
 /// Maximum length of an error text.
 const MAX_ERROR_BYTES: usize = 500;
@@ -33,6 +35,8 @@
     EndUnreadable,
     #[error("no answer in time")]
     NoAnswerInTime,
+    #[error("this controller is not a member")]
+    NotMember,
     /// Two reads gave contradictory results because the job changed between them.
     #[error("try again")]
     ChangedMeanwhile,
@@ -61,6 +65,22 @@
     job_status_answer(STATUS_OK, &job)
 }
 
+/// Returns whether an answer says nothing about the job, so that no newer answer contradicts it.
+pub(super) fn is_neutral(answer: &Answer) -> bool {
+    !matches!(
+        answer.status,
+        STATUS_OK | STATUS_CREATED | STATUS_BAD_REQUEST | STATUS_NOT_FOUND | STATUS_UNPROCESSABLE
+    )
+}
+
+/// Returns whether an answer says that the job was never accepted.
+pub(super) fn is_denial(answer: &Answer) -> bool {
+    matches!(
+        answer.status,
+        STATUS_BAD_REQUEST | STATUS_NOT_FOUND | STATUS_UNPROCESSABLE
+    )
+}
+
 /// Returns how the job ended, if another controller's answer reports its end.
 pub(super) fn end_in_answer(answer: &Answer) -> Option<EndValue> {
     if answer.status != STATUS_OK {
--- a/src/admission/confirmations.rs
+++ b/src/admission/confirmations.rs
@@ -2,8 +2,10 @@
 
 use super::answers::{self, Unavailable};
 use super::cancellations::cancellation_write;
+use super::evidence::{Evidence, RELAY_LIFETIME_MS};
 use super::pending::Awaited;
-use super::{Admission, AdmissionContext, AdmissionEffect, JobRequest, JobRequestKind};
+use super::{Admission, AdmissionContext, AdmissionEffect, JobRequest, JobRequestKind, Requester};
+use crate::Millis;
 use crate::peers::Answer;
 use crate::store::{EndValue, StoreReply};
 
@@ -52,12 +54,17 @@
         }
     }
 
-    /// Handles the success of the confirming read with this number, after it has been applied
-    /// to the watch cache.
-    pub fn confirming_read_done(&mut self, context: &AdmissionContext<'_>, number: u64) -> Vec<AdmissionEffect> {
+    /// Handles the success of the confirming read with this number, sent at `sent_at`, after it has
+    /// been applied to the watch cache.
+    pub fn confirming_read_done(
+        &mut self,
+        context: &AdmissionContext<'_>,
+        number: u64,
+        sent_at: Millis,
+    ) -> Vec<AdmissionEffect> {
         let mut effects = Vec::new();
         for request_id in self.finish_read(number) {
-            effects.extend(self.process_confirmed(context, request_id));
+            effects.extend(self.process_confirmed(context, request_id, sent_at));
         }
         effects
     }
@@ -99,42 +106,70 @@
         served.map(|(&request_id, _)| request_id).collect()
     }
 
-    /// Continues a request whose confirming read has been applied to the watch cache. The cache
-    /// is at least as recent as the request, so it may be used for the answer.
-    fn process_confirmed(&mut self, context: &AdmissionContext<'_>, request_id: u64) -> Vec<AdmissionEffect> {
+    /// Continues a request whose confirming read, sent at `read_sent_at`, has been applied to the
+    /// watch cache. The cache is at least as recent as the request, so it may be used for the answer.
+    fn process_confirmed(
+        &mut self,
+        context: &AdmissionContext<'_>,
+        request_id: u64,
+        read_sent_at: Millis,
+    ) -> Vec<AdmissionEffect> {
         let Some(request) = self.pending.get(&request_id) else {
             return Vec::new();
         };
-        if let Some(end) = self.known_end(context.watch_cache, &request.job_request.job_id) {
-            return self.report_end(context, request_id, end);
+        let job_id = request.job_request.job_id.clone();
+        if self.learn_end(context, &job_id) {
+            return self.report_end(context, request_id);
         }
         let Some(request) = self.pending.get_mut(&request_id) else {
             return Vec::new();
         };
-        let job_id = &request.job_request.job_id;
-        let Some((job, version)) = context.watch_cache.jobs().get(job_id) else {
-            let key = context.keys.end(job_id);
-            request.awaited = Awaited::EndRead;
+        let Some((job, version)) = context.watch_cache.jobs().get(&job_id) else {
+            let key = context.keys.end(&job_id);
+            request.awaited = Awaited::EndRead { read_sent_at };
             return vec![AdmissionEffect::ReadEnd { request_id, key }];
         };
         if matches!(request.job_request.kind, JobRequestKind::Cancellation) {
             let write = cancellation_write(context, job, *version);
-            return request.start_write(request_id, Box::new(write));
+            return request.start_write(context.now, request_id, Box::new(write));
         }
-        let answer = answers::unfinished(job_id, (context.counts)(job_id));
-        self.finish(context, request_id, answer)
+        let answer = answers::unfinished(&job_id, (context.counts)(&job_id));
+        self.finish_unfinished(context, request_id, read_sent_at, answer)
     }
 
-    /// Answers a request about a job that has ended. A cancellation is answered only after the
-    /// other controllers have confirmed the end.
-    fn report_end(&mut self, context: &AdmissionContext<'_>, request_id: u64, end: EndValue) -> Vec<AdmissionEffect> {
-        let Some(request) = self.pending.get(&request_id) else {
+    /// Answers a request with an unfinished state of its job that is based on a read or write sent at
+    /// `sent_at`. If that may be older than what another controller tells, the state is read again.
+    pub(super) fn finish_unfinished(
+        &mut self,
+        context: &AdmissionContext<'_>,
+        request_id: u64,
+        sent_at: Millis,
+        answer: Answer,
+    ) -> Vec<AdmissionEffect> {
+        let Some(request) = self.pending.get_mut(&request_id) else {
             return Vec::new();
         };
-        if matches!(request.job_request.kind, JobRequestKind::Cancellation) {
-            return self.request_peer_confirmations(context, request_id, end);
+        let job_id = request.job_request.job_id.clone();
+        if self.denial_promises.holds(context.now, &job_id) {
+            request.awaited = Awaited::DenialPromise;
+            return Vec::new();
+        }
+        let is_for_peer = matches!(request.requester, Requester::Peer { .. });
+        if self.learn_end(context, &job_id) {
+            tracing::debug!(job = job_id, "replaced a stale answer with the job's end");
+            return self.report_end(context, request_id);
+        }
+        match Evidence::of(context, sent_at) {
+            Evidence::Usable => {}
+            Evidence::Outdated => {
+                self.await_confirming_read(request_id);
+                return Vec::new();
+            }
+            Evidence::NotMember => return self.finish(context, request_id, Unavailable::NotMember.answer()),
+        }
+        if is_for_peer && !self.relayed_answers.extend(&job_id, context.now + RELAY_LIFETIME_MS) {
+            return self.finish(context, request_id, Unavailable::TooManyRequests.answer());
         }
-        let answer = answers::ended(&request.job_request.job_id, end);
         self.finish(context, request_id, answer)
     }
 
@@ -149,18 +184,28 @@
         let Some(request) = self.pending.get(&request_id) else {
             return Vec::new();
         };
+        let Awaited::EndRead { read_sent_at } = request.awaited else {
+            return Vec::new();
+        };
         let answer = match reply {
-            StoreReply::Found { value, .. } => match serde_json::from_value::<EndValue>(value.clone()) {
+            StoreReply::Found { value, version } => match serde_json::from_value::<EndValue>(value.clone()) {
                 Ok(end) => {
-                    self.end_cache.insert(&request.job_request.job_id, end);
-                    return self.report_end(context, request_id, end);
+                    let job_id = request.job_request.job_id.clone();
+                    self.note_end(context.now, &job_id, end, *version);
+                    return self.report_end(context, request_id);
                 }
                 Err(error) => {
                     tracing::error!(job = request.job_request.job_id, %error, "cannot parse the value of an end key");
                     Unavailable::EndUnreadable.answer()
                 }
             },
-            StoreReply::Missing => answer_without_end(context, &request.job_request),
+            StoreReply::Missing => {
+                let answer = answer_without_end(context, &request.job_request);
+                if answers::is_denial(&answer) {
+                    return self.finish_denial(context, request_id, read_sent_at, answer);
+                }
+                answer
+            }
             _ => Unavailable::StateServiceUnreachable.answer(),
         };
         self.finish(context, request_id, answer)
--- a/src/admission/effects.rs
+++ b/src/admission/effects.rs
@@ -1,7 +1,7 @@
 //! Actions that admission asks the controller to execute.
 
 use crate::peers::{Answer, UserRequest};
-use crate::store::JobKey;
+use crate::store::{EndValue, JobKey};
 use crate::wire::Transaction;
 use std::sync::Arc;
 
@@ -50,6 +50,35 @@
         /// The request to be answered there.
         user_request: UserRequest,
     },
+    /// Announce a job's end to another controller; its confirmation goes to
+    /// [`Admission::on_end_confirmed`](super::Admission::on_end_confirmed).
+    ConfirmEnd {
+        /// Name of the controller.
+        node: String,
+        /// Id of the job.
+        job_id: String,
+        /// How the job ended.
+        end: EndValue,
+        /// The revision of the store from which on the end can be read.
+        revision: u64,
+    },
+    /// Confirm a job's end to the controller that announced it.
+    EndConfirmed {
+        /// Name of the controller.
+        node: String,
+        /// Id of the job.
+        job_id: String,
+    },
+    /// Ask another controller whether a job is unknown; the reply goes to
+    /// [`Admission::on_unknown_confirmed`](super::Admission::on_unknown_confirmed).
+    ConfirmUnknown {
+        /// Id of the request that is waiting for the reply.
+        request_id: u64,
+        /// Name of the controller.
+        node: String,
+        /// Id of the job.
+        job_id: String,
+    },
     /// Record in the watch cache a job key that this controller has written.
     RecordJob {
         /// Id of the job.
--- a/src/admission/end_cache/tests.rs
+++ b/src/admission/end_cache/tests.rs
@@ -1,10 +1,14 @@
 use super::*;
 use crate::wire::JobState;
 
-fn done(tasks: u32) -> EndValue {
-    EndValue {
-        state: JobState::Done,
-        done: tasks,
+fn done(tasks: u32) -> KnownEnd {
+    KnownEnd {
+        end: EndValue {
+            state: JobState::Done,
+            done: tasks,
+        },
+        revision: 5,
+        known_since: 7,
     }
 }
 
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -5,10 +5,12 @@
 //! that are waiting when it is sent. Acceptances and cancellations are answered only
 //! once their create-once write is known to have succeeded.
 //!
-//! A read can become stale before the answer is sent: its reply can take longer than a
-//! cancellation that was requested later. Therefore every answer to a pending request is
-//! checked against the end of the job that is known by then (`Admission::finish`). For this
-//! check, ends that this controller did not learn from the watch cache are cached.
+//! A read can become stale before the answer is sent: its reply can take longer than the end
+//! of the job, which another controller then tells. An answer that a newer one can contradict is
+//! therefore given only if it is recent (the module `evidence`) and no end is known, and an end
+//! is told only when no other controller can still answer with an older state (the module
+//! `end_confirmations`). The acceptance of a job is protected from the other side: the module
+//! `denials` asks the other controllers before a job is called unknown.
 //!
 //! Admission does no I/O. Each of its methods returns the [`AdmissionEffect`]s for the
 //! controller to execute. Their replies are passed back with the id of the request.
@@ -16,12 +18,16 @@
 mod answers;
 mod cancellations;
 mod confirmations;
+mod denials;
 mod effects;
 mod end_cache;
+mod end_confirmations;
+mod evidence;
+mod job_deadlines;
 mod job_request;
-mod peer_confirmations;
 mod pending;
 mod refusal;
+mod relays;
 mod submissions;
 mod validation;
 mod writes;
@@ -39,6 +45,9 @@
 use answers::Unavailable;
 use confirmations::ConfirmingReads;
 use end_cache::EndCache;
+use end_confirmations::DelayedConfirmation;
+use evidence::FORWARD_TIMEOUT_MS;
+use job_deadlines::JobDeadlines;
 use job_request::{JobRequest, JobRequestKind};
 use pending::{Awaited, PendingRequest};
 use std::collections::BTreeMap;
@@ -46,10 +55,6 @@
 
 /// The maximum number of pending requests. Further requests are rejected with a retry hint.
 const MAX_PENDING: usize = 400;
-/// How long to wait for another controller's answer before processing the request here.
-/// Processing it here is equally safe: the write is create-once, and the leader learns of
-/// it through its watch.
-const FORWARD_TIMEOUT_MS: Millis = 100;
 
 /// The state outside of admission that answers depend on.
 pub struct AdmissionContext<'a> {
@@ -65,6 +70,9 @@
     pub limits: &'a Limits,
     /// Limits of the state service, which bound the size of a job's description.
     pub store_limits: &'a StoreLimits,
+    /// Since when this controller has been a member without interruption, or `None` if it may not be
+    /// one.
+    pub member_since: Option<Millis>,
     /// The condition that the leader's claim still holds, while this controller is the acting leader.
     pub claim: Option<Condition>,
     /// Determines whether a well-formed job can ever run.
@@ -82,6 +90,11 @@
     next_request_id: u64,
     confirming_reads: ConfirmingReads,
     end_cache: EndCache,
+    /// Until when unfinished states of jobs that were given to other controllers may be passed on.
+    relayed_answers: JobDeadlines,
+    /// Until when this controller calls these jobs neither accepted nor ended.
+    denial_promises: JobDeadlines,
+    delayed_confirmations: Vec<DelayedConfirmation>,
 }
 
 impl Admission {
@@ -98,12 +111,20 @@
             Ok(job_request) => job_request,
             Err(answer) => return vec![AdmissionEffect::Answer(requester, answer)],
         };
-        if let Some(answer) = self.immediate_answer(context.watch_cache, &job_request) {
+        let is_end_known = self.learn_end(context, &job_request.job_id);
+        if let Some(answer) = self.immediate_answer(context, &job_request.job_id) {
             return vec![AdmissionEffect::Answer(requester, answer)];
         }
+        // A cancellation is processed like any other one, so that its user is asked to repeat it if the
+        // state service can't be read.
+        let is_cancellation = matches!(job_request.kind, JobRequestKind::Cancellation);
         let mut request = PendingRequest::new(requester, job_request, context.now);
         let request_id = self.next_request_id;
         self.next_request_id += 1;
+        if is_end_known && !is_cancellation {
+            self.pending.insert(request_id, request);
+            return self.report_end(context, request_id);
+        }
         let Some(node) = forward_to else {
             self.pending.insert(request_id, request);
             return self.process(context, request_id);
@@ -122,28 +143,30 @@
 
     /// Returns the answer if it can be given without waiting: the job's end, which is final,
     /// or the rejection because of too many pending requests.
-    fn immediate_answer(&self, watch_cache: &WatchCache, job_request: &JobRequest) -> Option<Answer> {
-        if let Some(end) = self.reportable_end(watch_cache, job_request) {
-            return Some(answers::ended(&job_request.job_id, end));
+    fn immediate_answer(&mut self, context: &AdmissionContext<'_>, job_id: &str) -> Option<Answer> {
+        if let Some(answer) = self.confirmed_end_answer(context, job_id) {
+            return Some(answer);
         }
         (self.pending.len() >= MAX_PENDING).then(|| Unavailable::TooManyRequests.answer())
     }
 
-    /// Returns how the job ended, if this controller knows it and may report it in answer to this
-    /// request at once. A cancellation is answered only with an end that the other controllers have
-    /// confirmed.
-    fn reportable_end(&self, watch_cache: &WatchCache, job_request: &JobRequest) -> Option<EndValue> {
-        match job_request.kind {
-            JobRequestKind::Cancellation => self.end_cache.get_confirmed(&job_request.job_id),
-            _ => self.known_end(watch_cache, &job_request.job_id),
-        }
+    /// Returns the answer with the job's end, if it is known and may be told.
+    fn confirmed_end_answer(&mut self, context: &AdmissionContext<'_>, job_id: &str) -> Option<Answer> {
+        let known = self.end_cache.get(job_id)?;
+        self.may_tell_end(context, job_id)
+            .then(|| answers::ended(job_id, known.end))
     }
 
-    /// Returns how a job ended, if this controller knows it.
-    fn known_end(&self, watch_cache: &WatchCache, job_id: &str) -> Option<EndValue> {
-        self.end_cache
-            .get(job_id)
-            .or_else(|| end_in_watch_cache(watch_cache, job_id))
+    /// Returns whether this controller knows how a job ended, from the watch cache or otherwise.
+    pub fn learn_end(&mut self, context: &AdmissionContext<'_>, job_id: &str) -> bool {
+        if self.end_cache.get(job_id).is_some() {
+            return true;
+        }
+        let Some((end, version)) = end_in_watch_cache(context.watch_cache, job_id) else {
+            return false;
+        };
+        self.note_end(context.now, job_id, end, version);
+        true
     }
 
     /// Starts or restarts the processing of a request that this controller answers.
@@ -157,7 +180,7 @@
             && !known
         {
             match submissions::decide(context, spec) {
-                Decision::Accept(write) => return request.start_write(request_id, write),
+                Decision::Accept(write) => return request.start_write(context.now, request_id, write),
                 Decision::Postpone(reason) => return self.finish(context, request_id, reason.answer()),
                 // The refusal is answered only after a read has confirmed that the job is unknown.
                 Decision::Refuse(refusal) => job_request.kind = JobRequestKind::RefusedSubmission(refusal),
@@ -167,73 +190,65 @@
         Vec::new()
     }
 
-    /// Handles another controller's answer. An answer with status 503 is final too, since that
-    /// controller has better information than this one.
-    pub fn on_peer_answer(
-        &mut self,
-        context: &AdmissionContext<'_>,
-        request_id: u64,
-        node: &str,
-        answer: Answer,
-    ) -> Vec<AdmissionEffect> {
+    /// Answers requests that have timed out, processes requests here whose forwarding has
+    /// failed, and continues requests whose wait for other controllers is over.
+    pub fn tick(&mut self, context: &AdmissionContext<'_>) -> Vec<AdmissionEffect> {
+        self.relayed_answers.prune(context.now);
+        self.denial_promises.prune(context.now);
+        let mut effects = self.send_delayed_confirmations(context.now);
+        let request_ids: Vec<u64> = self.pending.keys().copied().collect();
+        for request_id in request_ids {
+            effects.extend(self.tick_request(context, request_id));
+        }
+        effects
+    }
+
+    fn tick_request(&mut self, context: &AdmissionContext<'_>, request_id: u64) -> Vec<AdmissionEffect> {
         let Some(request) = self.pending.get(&request_id) else {
             return Vec::new();
         };
-        match request.awaited {
-            Awaited::PeerAnswer { .. } => {}
-            Awaited::PeerConfirmations { .. } => return self.on_peer_confirmation(context, request_id, node),
-            _ => return Vec::new(),
+        if request.is_timed_out(context.now) {
+            return self.finish(context, request_id, Unavailable::NoAnswerInTime.answer());
+        }
+        if request.has_forward_failed(context.now, context.peers) {
+            return self.process(context, request_id);
         }
-        if let Some(end) = answers::end_in_answer(&answer) {
-            let job_request = &request.job_request;
-            match job_request.kind {
-                // The other controller has answered only after it was confirmed.
-                JobRequestKind::Cancellation => self.end_cache.insert_confirmed(&job_request.job_id, end),
-                _ => self.end_cache.insert(&job_request.job_id, end),
+        let job_id = request.job_request.job_id.clone();
+        match &request.awaited {
+            Awaited::EndConfirmation => self.answer_end_if_confirmed(context, request_id, &job_id),
+            Awaited::DenialConfirmation { deadline, .. } if context.now >= *deadline => {
+                self.finish(context, request_id, Unavailable::ChangedMeanwhile.answer())
+            }
+            Awaited::DenialPromise if !self.denial_promises.holds(context.now, &job_id) => {
+                self.await_confirming_read(request_id);
+                Vec::new()
             }
+            _ => Vec::new(),
         }
-        self.finish(context, request_id, answer)
     }
 
-    /// Answers requests that have timed out, processes requests here whose forwarding has
-    /// failed, and answers cancellations whose confirmation is complete.
-    pub fn tick(&mut self, context: &AdmissionContext<'_>) -> Vec<AdmissionEffect> {
-        let mut effects = Vec::new();
-        let request_ids: Vec<u64> = self.pending.keys().copied().collect();
-        for request_id in request_ids {
-            let Some(request) = self.pending.get(&request_id) else {
-                continue;
-            };
-            if request.is_timed_out(context.now) {
-                effects.extend(self.finish(context, request_id, Unavailable::NoAnswerInTime.answer()));
-            } else if request.has_forward_failed(context.now, context.peers) {
-                effects.extend(self.process(context, request_id));
-            } else {
-                effects.extend(self.answer_if_confirmed(context, request_id));
-            }
+    fn answer_end_if_confirmed(
+        &mut self,
+        context: &AdmissionContext<'_>,
+        request_id: u64,
+        job_id: &str,
+    ) -> Vec<AdmissionEffect> {
+        if self.may_tell_end(context, job_id) {
+            self.answer_end(request_id, job_id)
+        } else {
+            Vec::new()
         }
-        effects
     }
 
-    /// Answers a pending request. If the job's end has become known in the meantime, it
-    /// replaces the given answer: users of this controller may already have seen the end,
-    /// and no older state may be reported after it. A cancellation that can't be answered with a
-    /// confirmed end keeps its answer, after which its user repeats it.
+    /// Answers a pending request. If the job's end has become known in the meantime and may be told,
+    /// it replaces the given answer.
     fn finish(&mut self, context: &AdmissionContext<'_>, request_id: u64, answer: Answer) -> Vec<AdmissionEffect> {
         let Some(request) = self.pending.remove(&request_id) else {
             return Vec::new();
         };
-        let job_id = &request.job_request.job_id;
-        let answer = match self.reportable_end(context.watch_cache, &request.job_request) {
-            Some(end) => {
-                let final_answer = answers::ended(job_id, end);
-                if final_answer.body != answer.body {
-                    tracing::debug!(job = job_id, "replaced a stale answer with the job's end");
-                }
-                final_answer
-            }
-            None => answer,
-        };
+        let answer = self
+            .confirmed_end_answer(context, &request.job_request.job_id)
+            .unwrap_or(answer);
         vec![AdmissionEffect::Answer(request.requester, answer)]
     }
 
@@ -248,11 +263,13 @@
     }
 }
 
-/// Returns how a job ended, if its key still exists and is marked as ended.
-fn end_in_watch_cache(watch_cache: &WatchCache, job_id: &str) -> Option<EndValue> {
-    let (job, _) = watch_cache.jobs().get(job_id)?;
-    Some(EndValue {
+/// Returns how a job ended and the version of its key, if the key still exists and is marked as
+/// ended.
+fn end_in_watch_cache(watch_cache: &WatchCache, job_id: &str) -> Option<(EndValue, u64)> {
+    let (job, version) = watch_cache.jobs().get(job_id)?;
+    let end = EndValue {
         state: job.ended?,
         done: job.spec.tasks,
-    })
+    };
+    Some((end, *version))
 }
--- a/src/admission/pending.rs
+++ b/src/admission/pending.rs
@@ -3,8 +3,7 @@
 use super::writes::JobWrite;
 use super::{AdmissionEffect, JobRequest, JobRequestKind, Requester};
 use crate::Millis;
-use crate::peers::PeerLinks;
-use crate::store::EndValue;
+use crate::peers::{Answer, PeerLinks};
 use std::collections::BTreeSet;
 
 /// How long a submission or a cancellation may be pending. Users time out after 5 s.
@@ -18,9 +17,16 @@
     /// The reply to the confirming read with this number or a later one.
     ConfirmingRead(u64),
     /// The reply to the read of the job's end key.
-    EndRead,
+    EndRead {
+        /// When the confirming read before it was sent.
+        read_sent_at: Millis,
+    },
     /// The reply to a create-once write.
-    WriteReply(Box<JobWrite>),
+    WriteReply {
+        write: Box<JobWrite>,
+        /// When its last copy was sent.
+        sent_at: Millis,
+    },
     /// The answer of another controller to the forwarded request.
     PeerAnswer {
         /// Name of that controller.
@@ -28,15 +34,19 @@
         /// When this controller starts to process the request itself.
         deadline: Millis,
     },
-    /// Confirmations from the other controllers that they know how the job ended.
-    PeerConfirmations {
-        /// How the job ended.
-        end: EndValue,
-        /// Names of the controllers that have not confirmed it yet.
+    /// Confirmations from the other controllers that they give no older answer than the job's end.
+    EndConfirmation,
+    /// Confirmations from the other members that the job is unknown.
+    DenialConfirmation {
+        /// The answer after that.
+        answer: Answer,
+        /// Names of the members that have not confirmed it yet.
         unconfirmed: BTreeSet<String>,
-        /// When the user is answered even if confirmations are still missing.
-        answer_at: Millis,
+        /// Until when the confirmations count.
+        deadline: Millis,
     },
+    /// The end of the time for which this controller does not call the job accepted.
+    DenialPromise,
 }
 
 /// A request that has not been answered yet.
@@ -60,10 +70,10 @@
         }
     }
 
-    /// Sends a create-once write and makes the request wait for its reply.
-    pub(super) fn start_write(&mut self, request_id: u64, write: Box<JobWrite>) -> Vec<AdmissionEffect> {
+    /// Sends a create-once write at `now` and makes the request wait for its reply.
+    pub(super) fn start_write(&mut self, now: Millis, request_id: u64, write: Box<JobWrite>) -> Vec<AdmissionEffect> {
         let transaction = write.transaction.clone();
-        self.awaited = Awaited::WriteReply(write);
+        self.awaited = Awaited::WriteReply { write, sent_at: now };
         vec![AdmissionEffect::Write {
             request_id,
             transaction,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -3,6 +3,7 @@
 //! [`Controller::step`] takes one [`Input`] and returns the resulting [`Output`]s. It performs no
 //! I/O and has no clock or randomness of its own.
 
+mod answer_confirmations;
 mod claim;
 mod cloud;
 mod command_delivery;
@@ -16,6 +17,7 @@
 mod leader_timers;
 mod lease_extension;
 mod load_progress;
+mod membership;
 mod output;
 mod peer_messages;
 mod placement_rounds;
@@ -42,6 +44,7 @@
 
 use crate::admission::Admission;
 use crate::election::{Connectivity, LeaderElection, LeaseRequest};
+use crate::membership::Membership;
 use crate::peers::PeerLinks;
 use crate::policy::Policy;
 use crate::settings::{ConnectionLimits, Settings};
@@ -90,6 +93,7 @@
 
     // State of every controller.
     election: LeaderElection,
+    membership: Membership,
     peers: PeerLinks,
     admission: Admission,
     /// The cloud's catalogue of machine types, `None` until it has been read from the cloud or the
@@ -132,6 +136,7 @@
             call_ids: IdSequence::for_incarnation(incarnation),
             peer_request_ids: IdSequence::for_incarnation(incarnation),
             election: LeaderElection::new(&settings.node, incarnation, settings.max_watch_cache_age_ms()),
+            membership: Membership::new(&settings.node, incarnation),
             peers: PeerLinks::new(nodes),
             admission: Admission::default(),
             catalogue: None,
@@ -197,6 +202,7 @@
     /// Performs the work that is due. Called after every input.
     fn advance(&mut self) {
         self.advance_watch_cache();
+        self.advance_membership();
         self.advance_election();
         self.advance_leader();
         self.advance_loading();
--- a/src/controller/peer_messages.rs
+++ b/src/controller/peer_messages.rs
@@ -2,7 +2,7 @@
 
 use super::{Controller, Output, SHARD};
 use crate::admission::{Requester, service_unavailable};
-use crate::peers::{AddressedCommands, Answer, CommandReply, HeartbeatState, Message, UserRequest};
+use crate::peers::{AddressedCommands, Answer, CommandReply, HeartbeatState, JobTaskCounts, Message, UserRequest};
 
 impl Controller {
     /// Dispatches a message that the controller `node` sent.
@@ -41,8 +41,11 @@
             } => self.on_extension_grant(&node, term, requested_at, cancelled_jobs),
             Message::DeliverCommands { commands, .. } => self.deliver_for_leader(&node, commands),
             Message::CommandReplies { replies } => self.on_command_replies(replies),
-            Message::TaskCounts { shard, counts } if shard == SHARD => self.peers.set_task_counts(counts),
-            Message::TaskCounts { .. } => {}
+            Message::ConfirmEnd { .. }
+            | Message::EndConfirmed { .. }
+            | Message::ConfirmUnknown { .. }
+            | Message::UnknownConfirmed { .. } => self.on_answer_confirmation(node, message),
+            Message::TaskCounts { shard, counts } => self.on_task_counts(&shard, counts),
         }
     }
 
@@ -71,6 +74,13 @@
         }
     }
 
+    /// Handles the task counts that the leader sends.
+    fn on_task_counts(&mut self, shard: &str, counts: Vec<JobTaskCounts>) {
+        if shard == SHARD {
+            self.peers.set_task_counts(counts);
+        }
+    }
+
     /// Delivers commands to workers on behalf of the leader. Refuses those beyond the limit on
     /// commands in flight.
     fn deliver_for_leader(&mut self, leader: &str, commands: Vec<AddressedCommands>) {
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -27,6 +27,7 @@
             limits: &self.settings.params.limits,
             store_limits: &self.settings.params.state,
             watch_cache: &self.watch_cache,
+            member_since: self.member_since(),
             claim,
             feasibility: &feasibility,
             peers: &self.peers,
@@ -54,6 +55,18 @@
                     node,
                     user_request,
                 } => self.forward(request_id, node, user_request),
+                AdmissionEffect::ConfirmEnd {
+                    node,
+                    job_id,
+                    end,
+                    revision,
+                } => self.announce_end(node, job_id, end, revision),
+                AdmissionEffect::EndConfirmed { node, job_id } => self.confirm_end(node, job_id),
+                AdmissionEffect::ConfirmUnknown {
+                    request_id,
+                    node,
+                    job_id,
+                } => self.ask_whether_unknown(request_id, node, job_id),
                 AdmissionEffect::RecordJob { id, job, revision } => self.record_written(&id, job, revision),
             }
         }
--- a/src/controller/store_calls.rs
+++ b/src/controller/store_calls.rs
@@ -37,7 +37,10 @@
         let Some(answered) = self.store_client.take_answered(self.now, call, &reply) else {
             return;
         };
-        let is_renewal = matches!(answered.purpose, Purpose::RenewLease { .. });
+        let is_renewal = matches!(
+            answered.purpose,
+            Purpose::RenewLease { .. } | Purpose::RenewMembership { .. }
+        );
         if reply == StoreReply::Throttled && !is_renewal {
             self.enqueue_after(THROTTLED_RETRY_MS, answered.purpose, answered.request);
             return;
@@ -49,6 +52,11 @@
     fn on_answered(&mut self, purpose: Purpose, request: &StoreRequest, reply: StoreReply) {
         match purpose {
             Purpose::GrantLease => self.on_lease_granted(reply),
+            Purpose::GrantMembership => self.on_membership_granted(&reply),
+            Purpose::RegisterMember => self.membership.on_registered(self.now, &reply),
+            Purpose::RenewMembership { lease, sent_at } => {
+                self.membership.on_renewed(self.now, lease, sent_at, &reply);
+            }
             Purpose::Claim { transaction, sent_at } => self.on_claim_reply(transaction, sent_at, reply),
             Purpose::RenewLease { sent_at } => self.on_renew_reply(sent_at, reply),
             Purpose::CheckClaim => self.on_claim_checked(reply),
--- a/src/controller/store_purpose.rs
+++ b/src/controller/store_purpose.rs
@@ -11,6 +11,12 @@
 pub(super) enum Purpose {
     /// Requests a lease for a claim on the shard.
     GrantLease,
+    /// Requests a lease for the membership of this controller.
+    GrantMembership,
+    /// Writes the member key of this controller.
+    RegisterMember,
+    /// Renews the lease of the membership.
+    RenewMembership { lease: u64, sent_at: Millis },
     /// Claims the shard, or raises the term of an existing claim.
     Claim {
         transaction: Arc<Transaction>,
@@ -87,6 +93,9 @@
                 | Purpose::RenewLease { .. }
                 | Purpose::CheckClaim
                 | Purpose::Resign
+                | Purpose::GrantMembership
+                | Purpose::RegisterMember
+                | Purpose::RenewMembership { .. }
                 // Sent once a second; the leader may act only with a recent watch cache.
                 | Purpose::RefreshWatchCache { admission_read: None, .. }
         )
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -6,8 +6,12 @@
 use crate::store::{JobKey, StoreReply, StoreRequest};
 use crate::wire::{Entry, JobSpec, Page, Transaction};
 
+mod answer_order;
+mod answer_waits;
+mod cluster_fixture;
 mod job_end_answers;
 mod large_jobs;
+mod memory_store;
 mod user_fixture;
 mod watch_cache_reads;
 
--- a/src/controller/tests/job_end_answers.rs
+++ b/src/controller/tests/job_end_answers.rs
@@ -101,7 +101,7 @@
 fn cancellation_is_answered_after_timeout_if_peer_is_silent() {
     for silent_for in [0, 5_000] {
         let mut fixture = Fixture::new(page_with_job(), None);
-        fixture.monotonic += silent_for;
+        fixture.run_without_peer(silent_for);
         let committed = fixture.commit_cancellation();
         assert_eq!(answer_to(&committed, CANCELLATION), None);
         let committed_at = fixture.monotonic;
--- a/src/controller/tests/user_fixture.rs
+++ b/src/controller/tests/user_fixture.rs
@@ -7,6 +7,9 @@
 pub const CANCELLATION: u64 = 2;
 pub const SUBMISSION: u64 = 3;
 
+/// The version of the controller's own member key, which its watch cache does not show yet.
+const MEMBER_VERSION: u64 = 1_000;
+
 /// A controller with one peer. The test supplies all replies of the state service and the peer.
 pub struct Fixture {
     controller: Controller,
@@ -26,11 +29,42 @@
             peer,
         };
         let call = last_store_call(&fixture.step(Input::Tick));
-        fixture.reply(call, page);
+        let granting = fixture.reply(call, page);
+        fixture.become_member(&granting);
         fixture.receive_from_peer(heartbeat(&fixture.peer.clone(), leading_term));
         fixture
     }
 
+    /// Answers the requests with which the controller becomes a member.
+    fn become_member(&mut self, outputs: &[Output]) {
+        let granting = store_call(outputs, |request| matches!(request, StoreRequest::Grant { .. }));
+        let registering = self.reply(granting, StoreReply::Granted { lease: 1 });
+        let registration = store_call(&registering, |request| matches!(request, StoreRequest::Transact(_)));
+        self.reply(
+            registration,
+            StoreReply::Committed {
+                revision: MEMBER_VERSION,
+            },
+        );
+    }
+
+    /// Lets this time pass without a message from the peer. The membership is renewed.
+    pub fn run_without_peer(&mut self, ms: Millis) {
+        let until = self.monotonic + ms;
+        while self.monotonic < until {
+            let outputs = self.step(Input::Tick);
+            for output in outputs {
+                if let Output::Store {
+                    call,
+                    request: StoreRequest::Renew(_),
+                } = output
+                {
+                    self.reply(call, StoreReply::Renewed);
+                }
+            }
+        }
+    }
+
     pub fn step(&mut self, input: Input) -> Vec<Output> {
         self.monotonic += 10;
         self.controller.step(at(self.monotonic), input)
@@ -85,6 +119,15 @@
     }
 }
 
+/// The call id of the request to the state service that `is_wanted` selects among these outputs.
+pub fn store_call(outputs: &[Output], is_wanted: impl Fn(&StoreRequest) -> bool) -> u64 {
+    let calls = outputs.iter().find_map(|output| match output {
+        Output::Store { call, request } if is_wanted(request) => Some(*call),
+        _ => None,
+    });
+    calls.expect("a request to the state service")
+}
+
 /// The answer to the request with this number among these outputs, if any.
 pub fn answer_to(outputs: &[Output], request_number: u64) -> Option<&Answer> {
     outputs.iter().find_map(|output| match output {
--- a/src/controller/tests/watch_cache_reads.rs
+++ b/src/controller/tests/watch_cache_reads.rs
@@ -50,7 +50,7 @@
 impl TrimmedStore {
     fn committed(&self) -> StoreReply {
         StoreReply::Committed {
-            revision: self.revision,
+            revision: self.revision + 1,
         }
     }
 
--- a/src/controller/watching.rs
+++ b/src/controller/watching.rs
@@ -62,8 +62,12 @@
     }
 
     /// Sends the confirming read that admission waits for, if any. It waits until the watch cache is
-    /// complete, since changes alone don't bring an incomplete one up to date.
+    /// complete, since changes alone don't bring an incomplete one up to date, and for the end of a
+    /// registration as a member, since an answer may not be based on an earlier read.
     pub(super) fn send_confirming_read(&mut self) {
+        if self.membership.is_registering() {
+            return;
+        }
         if let Some(position) = self.watch_cache.position()
             && let Some(read) = self.admission.take_confirming_read()
         {
@@ -117,7 +121,7 @@
             return;
         };
         let effects = self.with_admission(|admission, context| match outcome {
-            WatchOutcome::UpToDate => admission.confirming_read_done(context, read),
+            WatchOutcome::UpToDate => admission.confirming_read_done(context, read, sent_at),
             WatchOutcome::Superseded => {
                 admission.confirming_read_superseded(read);
                 Vec::new()
@@ -182,12 +186,20 @@
             match change {
                 WatchedChange::Leader => self.on_claim_changed(),
                 WatchedChange::Catalogue => self.apply_stored_catalogue(),
-                WatchedChange::Job(id) => self.job_changed(&id),
+                WatchedChange::Job(id) => {
+                    self.note_end(&id);
+                    self.job_changed(&id);
+                }
                 WatchedChange::JobRemoved(id) => self.job_removed(id),
             }
         }
     }
 
+    /// Lets admission know if the watch cache shows that this job has ended.
+    fn note_end(&mut self, id: &str) {
+        self.with_admission(|admission, context| admission.learn_end(context, id));
+    }
+
     /// Applies the catalogue that is stored in the state service.
     fn apply_stored_catalogue(&mut self) {
         let value = self.watch_cache.catalogue().cloned();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod election;
 pub mod fleet;
 pub mod ids;
+pub mod membership;
 pub mod memory;
 pub mod peers;
 pub mod persistence;
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -7,7 +7,7 @@
 //! with the same order of fields.
 
 use crate::Millis;
-use crate::store::JobKey;
+use crate::store::{EndValue, JobKey};
 use crate::wire::{DirectCommands, Report, ReportAnswer};
 use serde::{Deserialize, Serialize};
 
@@ -205,6 +205,40 @@
         /// The jobs cancelled after the revision of the request, as far as the sender knows.
         cancelled_jobs: Vec<CancelledJob>,
     },
+    /// Announces how a job ended before a user is told. Sent to members only, which can read it.
+    ConfirmEnd {
+        /// The shard of the job.
+        shard: String,
+        /// Id of the job.
+        job: String,
+        /// How the job ended.
+        end: EndValue,
+        /// The revision of the store from which on the job's end can be read.
+        revision: u64,
+    },
+    /// The reply to [`Message::ConfirmEnd`]: the sender knows of the end, and neither it nor a
+    /// controller that it answered gives an older state of the job any more.
+    EndConfirmed {
+        /// Id of the job.
+        job: String,
+    },
+    /// Asks whether a job is unknown, before a user is told so. Sent to members only.
+    ConfirmUnknown {
+        /// The shard of the job.
+        shard: String,
+        /// An id chosen by the sender and repeated in the reply.
+        id: u64,
+        /// Id of the job.
+        job: String,
+    },
+    /// The reply to [`Message::ConfirmUnknown`].
+    UnknownConfirmed {
+        /// The id of the question.
+        id: u64,
+        /// Whether the sender has not told any user that the job is accepted, and does not for a
+        /// while. False also if it can't be sure.
+        is_unknown: bool,
+    },
     /// Task counts of unfinished jobs, which the leader sends so that every controller can show
     /// them to users.
     #[serde(rename = "Counts")]
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -45,6 +45,18 @@
         format!("live/{}/catalogue", self.shard)
     }
 
+    /// The prefix of the keys of members.
+    pub fn members(&self) -> String {
+        format!("live/{}/member/", self.shard)
+    }
+
+    /// The key of a member, a [`MemberValue`](super::MemberValue). Written by the controller of this
+    /// name and attached to its membership lease, so that the state service removes it when the
+    /// lease expires.
+    pub fn member(&self, node: &str) -> String {
+        format!("live/{}/member/{node}", self.shard)
+    }
+
     /// The prefix of the keys of jobs.
     pub fn jobs(&self) -> String {
         format!("live/{}/job/", self.shard)
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -12,5 +12,5 @@
 pub use keys::{Keys, strip_key_prefix};
 pub use requests::{StoreReply, StoreRequest};
 pub use token_bucket::TokenBucket;
-pub use values::{EndValue, JobKey, LeaderValue, TermValue};
+pub use values::{EndValue, JobKey, LeaderValue, MemberValue, TermValue};
 pub use watch_cache::{FullReadId, PageOutcome, WatchCache, WatchPosition, WatchedChange};
--- a/src/store/values.rs
+++ b/src/store/values.rs
@@ -16,6 +16,14 @@
     pub term: u64,
 }
 
+/// The value of a member key: a controller that answers users.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberValue {
+    /// Distinguishes the processes that a controller has run as.
+    #[serde(rename = "life")]
+    pub incarnation: u64,
+}
+
 /// The value of a job key.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobKey {
--- a/src/store/watch_cache.rs
+++ b/src/store/watch_cache.rs
@@ -1,9 +1,14 @@
 //! The watch cache: a copy of the watched keys, kept by every controller.
 
+mod full_read;
+
+pub use full_read::{FullReadId, PageOutcome};
+
 use super::{JobKey, Keys, LeaderValue, TermValue};
-use crate::wire::{Page, WatchEvent};
+use crate::wire::WatchEvent;
+use full_read::FullRead;
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A change in the watch cache that the controller may have to react to.
 #[derive(Clone, Debug, PartialEq)]
@@ -18,11 +23,6 @@
     JobRemoved(String),
 }
 
-/// The number of a full read of the watched keys. Every page belongs to the read that requested
-/// it, and every watch to the read whose result it continues from.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct FullReadId(u64);
-
 /// A state of the watch cache, from which a watch request asks for changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WatchPosition {
@@ -37,22 +37,6 @@
     }
 }
 
-/// What follows from a page of a full read.
-#[derive(Debug, PartialEq)]
-pub enum PageOutcome {
-    /// The read was abandoned before the page arrived, so the page was ignored.
-    Abandoned,
-    /// The read goes on with the page after this key.
-    Continues {
-        /// The last key of the page.
-        after: String,
-    },
-    /// The page has no keys, although it is marked as not the last one. The read was abandoned.
-    Malformed,
-    /// The read is complete and the cache holds its result.
-    Complete(Vec<WatchedChange>),
-}
-
 /// How much of the watched keys the cache holds.
 #[derive(Debug, Default)]
 enum Contents {
@@ -66,11 +50,6 @@
 }
 
 /// A copy of the watched keys as of `revision`.
-///
-/// A full read takes several requests. It is abandoned when the cache is invalidated, and the
-/// replies that arrive for it afterwards must not count for the next one: its pages, and the
-/// replies to watches that continued from an earlier read, are recognized by their
-/// [`FullReadId`] and ignored.
 #[derive(Debug, Default)]
 pub struct WatchCache {
     revision: u64,
@@ -82,6 +61,10 @@
     /// The highest term and the version of its key.
     term: (u64, u64),
     catalogue: Option<Value>,
+    /// The version of the key of each member, by the name of the controller.
+    members: BTreeMap<String, u64>,
+    /// The names of all controllers that have been members since this process started.
+    past_members: BTreeSet<String>,
     /// The jobs by id, each with the version of its key.
     jobs: BTreeMap<String, (JobKey, u64)>,
     /// The total number of tasks of these jobs.
@@ -90,27 +73,6 @@
     name_bytes: usize,
 }
 
-/// A full read of the watched keys that is in progress.
-#[derive(Debug, Default)]
-struct FullRead {
-    /// The revision of the first page, once it has been read.
-    first_revision: Option<u64>,
-    /// The keys read so far, represented as puts.
-    events: Vec<WatchEvent>,
-}
-
-impl FullRead {
-    fn add(&mut self, page: Page) {
-        self.first_revision.get_or_insert(page.revision);
-        self.events.extend(page.items.into_iter().map(|entry| WatchEvent {
-            put: Some(entry.key),
-            delete: None,
-            value: entry.value,
-            version: entry.version,
-        }));
-    }
-}
-
 /// A change of a key: a put or a removal.
 enum KeyChange {
     Put { key: String, value: Value },
@@ -172,78 +134,14 @@
         self.catalogue.as_ref()
     }
 
-    /// Starts a full read, and abandons the one in progress, if any.
-    pub fn begin_full_read(&mut self) -> FullReadId {
-        self.last_full_read.0 += 1;
-        self.contents = Contents::Reading(FullRead::default());
-        self.last_full_read
+    /// Returns the version of a member's key, or `None` if this controller is not a member.
+    pub fn member_version(&self, node: &str) -> Option<u64> {
+        self.members.get(node).copied()
     }
 
-    /// Adds one page of a full read, and applies the read if it is the last page.
-    pub fn apply_page(&mut self, keys: &Keys, read: FullReadId, page: Page) -> PageOutcome {
-        let Contents::Reading(full_read) = &mut self.contents else {
-            return PageOutcome::Abandoned;
-        };
-        if read != self.last_full_read {
-            return PageOutcome::Abandoned;
-        }
-        let more = page.more;
-        let last_key = page.items.last().map(|entry| entry.key.clone());
-        full_read.add(page);
-        match last_key {
-            Some(after) if more => PageOutcome::Continues { after },
-            None if more => {
-                self.invalidate();
-                PageOutcome::Malformed
-            }
-            _ => {
-                let full_read = std::mem::take(full_read);
-                PageOutcome::Complete(self.replace_all(keys, full_read))
-            }
-        }
-    }
-
-    /// Abandons a full read of which a page could not be read. Returns whether it was in progress.
-    pub fn fail_full_read(&mut self, read: FullReadId) -> bool {
-        let was_in_progress = self.is_being_read() && read == self.last_full_read;
-        if was_in_progress {
-            self.contents = Contents::Outdated;
-        }
-        was_in_progress
-    }
-
-    /// Replaces the cached jobs and claim with those of a full read, and returns the changes.
-    fn replace_all(&mut self, keys: &Keys, full_read: FullRead) -> Vec<WatchedChange> {
-        let mut changes: Vec<WatchedChange> = Vec::new();
-        if self.leader.take().is_some() {
-            changes.push(WatchedChange::Leader);
-        }
-        let before = std::mem::take(&mut self.jobs);
-        self.tasks = 0;
-        self.name_bytes = 0;
-        for event in full_read.events {
-            changes.extend(self.apply(keys, event));
-        }
-        // Later pages may be newer than the first one. Applying the log from the revision of
-        // the first page makes the cache consistent.
-        self.revision = full_read.first_revision.unwrap_or(self.revision);
-        self.contents = Contents::Complete;
-        for (id, (key, version)) in before {
-            changes.extend(self.keep_or_remove(id, key, version));
-        }
-        changes
-    }
-
-    /// Keeps a job that was cached before a full read and is newer than what the read shows: this
-    /// controller wrote it while the pages were being read. A job that the read lacks for another
-    /// reason was removed.
-    fn keep_or_remove(&mut self, id: String, key: JobKey, version: u64) -> Option<WatchedChange> {
-        let read_version = self.jobs.get(&id).map(|&(_, version)| version);
-        if version > self.revision && read_version.is_none_or(|read_version| read_version < version) {
-            self.record_job(&id, key, version);
-            return None;
-        }
-        read_version.is_none().then_some(WatchedChange::JobRemoved(id))
+    /// Returns whether this controller is or was a member, as far as this process has seen.
+    pub fn was_member(&self, node: &str) -> bool {
+        self.past_members.contains(node)
     }
 
     /// Returns, by id, the unfinished jobs and the ended jobs that have not been cleaned up yet,
@@ -278,12 +176,6 @@
         }
     }
 
-    /// Marks the cache as incomplete, because changes may have been missed, and abandons the full
-    /// read in progress, if any.
-    pub fn invalidate(&mut self) {
-        self.contents = Contents::Outdated;
-    }
-
     /// Handles the reply that the service no longer keeps all changes after `position`. Only a
     /// cache that is still there has missed changes: since the request was sent, another reply or
     /// a full read may have brought it past them.
@@ -330,6 +222,11 @@
         if let Some(id) = key.strip_prefix(&keys.jobs()) {
             return self.apply_job(id, value, version);
         }
+        if let Some(node) = key.strip_prefix(&keys.members()) {
+            self.members.insert(node.into(), version);
+            self.past_members.insert(node.into());
+            return None;
+        }
         if key == keys.leader() {
             self.leader = serde_json::from_value(value).ok().map(|leader| (leader, version));
             return Some(WatchedChange::Leader);
@@ -366,6 +263,10 @@
             self.remove_job(id);
             return Some(WatchedChange::JobRemoved(id.into()));
         }
+        if let Some(node) = key.strip_prefix(&keys.members()) {
+            self.members.remove(node);
+            return None;
+        }
         if key == keys.leader() {
             self.leader = None;
             return Some(WatchedChange::Leader);
--- a/src/store/watch_cache/tests.rs
+++ b/src/store/watch_cache/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::wire::Entry;
+use crate::wire::{Entry, Page};
 use serde_json::json;
 
 fn keys() -> Keys {
--- a/tests/golden/frames.rs
+++ b/tests/golden/frames.rs
@@ -6,7 +6,8 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use sumacbend::peers::Message;
-use sumacbend::wire::{DirectCommands, JobSpec, Report, ReportAnswer};
+use sumacbend::store::EndValue;
+use sumacbend::wire::{DirectCommands, JobSpec, JobState, Report, ReportAnswer};
 
 /// Checks that each frame in the file contains the JSON on the line above it, decodes as a
 /// message, and encodes to the same bytes.
@@ -63,6 +64,14 @@
     check_frames("frames/held.txt");
 }
 
+#[test]
+fn confirmations_of_answers_keep_their_bytes() {
+    check_frames("frames/confirm_end.txt");
+    check_frames("frames/end_confirmed.txt");
+    check_frames("frames/confirm_unknown.txt");
+    check_frames("frames/unknown_confirmed.txt");
+}
+
 #[test]
 fn fields_of_structs_in_frames_keep_their_positions() {
     check_field_order::<Report>("frames/order_of_report.txt");
@@ -101,3 +110,28 @@
         assert_eq!(to_hex(&written), golden_pairs(name)[line].1, "{name}");
     }
 }
+
+#[test]
+fn fields_of_confirmations_keep_their_positions() {
+    let confirm_end = Message::ConfirmEnd {
+        shard: "pool".into(),
+        job: "j-000412".into(),
+        end: EndValue {
+            state: JobState::Done,
+            done: 16,
+        },
+        revision: 789,
+    };
+    let confirm_unknown = Message::ConfirmUnknown {
+        shard: "pool".into(),
+        id: 7,
+        job: "j-000412".into(),
+    };
+    for (message, name) in [
+        (confirm_end, "frames/confirm_end.txt"),
+        (confirm_unknown, "frames/confirm_unknown.txt"),
+    ] {
+        let written = rmp_serde::to_vec(&message).expect("encodable as MessagePack");
+        assert_eq!(to_hex(&written), golden_pairs(name)[0].1, "{name}");
+    }
+}
--- a/tests/golden/stored.rs
+++ b/tests/golden/stored.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use sumacbend::fleet::{GroupValue, MachineRequestRecord};
 use sumacbend::pipeline::ChunkValue;
-use sumacbend::store::{EndValue, JobKey, Keys, LeaderValue};
+use sumacbend::store::{EndValue, JobKey, Keys, LeaderValue, MemberValue};
 use sumacbend::wire::Catalogue;
 
 const STORE: &str = "stored/store.txt";
@@ -30,6 +30,7 @@
 #[test]
 fn stored_values_keep_their_json() {
     check_round_trip_below::<LeaderValue>("stored/claim.txt", "live/pool/owner");
+    check_round_trip_below::<MemberValue>("stored/member.txt", "live/pool/member/");
     check_round_trip_below::<Catalogue>(STORE, "live/pool/catalogue");
     check_round_trip_below::<JobKey>(STORE, "live/pool/job/");
     check_round_trip_below::<EndValue>(STORE, "kept/pool/end/");
@@ -56,11 +57,17 @@
             }
         }
     }
-    let all = [golden_lines(STORE), golden_lines("stored/claim.txt")].concat();
+    let all = [
+        golden_lines(STORE),
+        golden_lines("stored/claim.txt"),
+        golden_lines("stored/member.txt"),
+    ]
+    .concat();
     for line in all {
         let (key, text) = line.split_once(' ').expect("a key and its value");
         let parts: Vec<&str> = key.split('/').collect();
         match parts[2] {
+            "member" => check_required_fields::<MemberValue>(text, &[]),
             "owner" => check_required_fields::<LeaderValue>(text, &[]),
             "job" => check_required_fields::<JobKey>(text, &["ended"]),
             "end" => check_required_fields::<EndValue>(text, &["done"]),
@@ -82,6 +89,8 @@
         keys.leader(),
         keys.term(),
         keys.catalogue(),
+        keys.members(),
+        keys.member("stall-0"),
         keys.jobs(),
         keys.job("j-000412"),
         keys.ends(),
--- a/tests/rules/world/event_dispatch.rs
+++ b/tests/rules/world/event_dispatch.rs
@@ -10,11 +10,12 @@
         | ScheduledEvent::ReportArrives { node, .. } = &event
             && self.defers_input(*node)
         {
-            // The tick comes first, as it was due during the whole freeze; other inputs follow
-            // 1 ms later.
-            let after_tick = u64::from(!matches!(event, ScheduledEvent::Tick(_)));
+            // The tick and the other inputs were due during the freeze. Which of them the process
+            // takes first when it resumes is open.
+            let is_tick = matches!(event, ScheduledEvent::Tick(_));
+            let is_later = is_tick == self.nodes[*node].takes_inputs_first;
             let resume_at = self.nodes[*node].frozen_until;
-            self.schedule(resume_at + after_tick, event);
+            self.schedule(resume_at + u64::from(is_later), event);
             return;
         }
         match event {
--- a/tests/rules/world/fault.rs
+++ b/tests/rules/world/fault.rs
@@ -93,6 +93,8 @@
     WritesRejected { key: String, ms: u64 },
     /// Requests take 15 times as long to reach the state service.
     StoreSlow { ms: u64 },
+    /// The state service's replies to this controller take `delay_ms` longer.
+    StoreRepliesSlow { node: usize, delay_ms: u64, ms: u64 },
     /// Users ask all running controllers about accepted jobs again and again, and at once when the
     /// state that they know of a job changes.
     CloseLooks { ms: u64 },
@@ -131,6 +133,7 @@
             | Fault::InvalidRequests { ms }
             | Fault::WritesRejected { ms, .. }
             | Fault::StoreSlow { ms }
+            | Fault::StoreRepliesSlow { ms, .. }
             | Fault::CloseLooks { ms } => *ms,
             // Boots take at most 40 s. By then, the controllers have given up machines that never
             // come up.
--- a/tests/rules/world/fault_injection.rs
+++ b/tests/rules/world/fault_injection.rs
@@ -14,6 +14,7 @@
             | Fault::CutFromWorkers { node, .. }
             | Fault::CutFromAllButWorkers { node, .. }
             | Fault::StoreRefuses { node, .. }
+            | Fault::StoreRepliesSlow { node, .. }
             | Fault::ReadsLost { node, .. } => self.inject_controller_fault(node, fault),
             Fault::MachineCut { .. }
             | Fault::MachineReceivesNothing { .. }
@@ -77,6 +78,7 @@
             Fault::Freeze { ms, .. } => {
                 node.frozen_until = now + ms;
                 node.inputs_before_freeze = 3;
+                node.takes_inputs_first = self.rng.random_bool(0.5);
             }
             Fault::CutFromStore { ms, .. } => node.store_cut_until = now + ms,
             Fault::CutFromPeers { ms, .. } => node.peer_cut_until = now + ms,
@@ -86,6 +88,10 @@
                 node.peer_cut_until = now + ms;
             }
             Fault::StoreRefuses { ms, .. } => node.store_refuses_until = now + ms,
+            Fault::StoreRepliesSlow { delay_ms, ms, .. } => {
+                node.store_replies_slow_until = now + ms;
+                node.store_reply_delay_ms = delay_ms;
+            }
             Fault::ReadsLost { ms, .. } => node.store_reads_lost_until = now + ms,
             other => unreachable!("{other:?} is not a fault of a controller"),
         }
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -88,10 +88,16 @@
     store_refuses_until: u64,
     /// Until when its reads and watches of the state service get no answer.
     store_reads_lost_until: u64,
+    /// Until when the state service's replies to it are slow.
+    store_replies_slow_until: u64,
+    /// By how many milliseconds these replies are late.
+    store_reply_delay_ms: u64,
     /// Until when the process is suspended.
     frozen_until: u64,
     /// The number of inputs that it still processes before the freeze takes effect.
     inputs_before_freeze: u32,
+    /// Whether it processes other inputs before the tick when it resumes after a freeze.
+    takes_inputs_first: bool,
     /// The result of the last health check by the load balancer.
     healthy: bool,
 }
--- a/tests/rules/world/setup.rs
+++ b/tests/rules/world/setup.rs
@@ -115,8 +115,11 @@
             worker_cut_until: 0,
             store_refuses_until: 0,
             store_reads_lost_until: 0,
+            store_replies_slow_until: 0,
+            store_reply_delay_ms: 0,
             frozen_until: 0,
             inputs_before_freeze: 0,
+            takes_inputs_first: false,
             healthy: false,
         }
     }
--- a/tests/rules/world/state_service.rs
+++ b/tests/rules/world/state_service.rs
@@ -156,8 +156,14 @@
             call,
         } = caller;
         let input = Input::Store { call, reply };
+        let state = &self.nodes[node];
+        let slow_ms = if self.now < state.store_replies_slow_until {
+            state.store_reply_delay_ms
+        } else {
+            0
+        };
         self.schedule(
-            self.now + after_ms,
+            self.now + after_ms + slow_ms,
             ScheduledEvent::Input {
                 node,
                 incarnation,
