Watch again after a full read, without the reply to an earlier watch

Cause: since replies count only for the read that they belong to, the reply to a watch that was sent before a full read is ignored. It may stay open for 10 s, and no other one was sent meanwhile, so the controller heard of changes by its refreshes alone, once a second. Its late reply would also have counted for the next watch.

Change: a full read makes the next watch due at once, and the reply to an earlier one is ignored altogether.

a_new_watch_is_sent_after_a_full_read fails without the first change.

--- a/src/controller/tests/watch_cache_reads.rs
+++ b/src/controller/tests/watch_cache_reads.rs
@@ -17,6 +17,8 @@
     due: Vec<DueReply>,
     /// How long the request for a page takes.
     page_delay_ms: Millis,
+    /// The number of watches that wait for a change, which is never made.
+    open_watches: usize,
 }
 
 impl TrimmedStore {
@@ -32,7 +34,10 @@
             StoreRequest::List { .. } => (10, page(String::new(), false)),
             StoreRequest::Watch { wait_ms: 0, since, .. } if *since < self.revision => (10, StoreReply::TooOld),
             StoreRequest::Watch { wait_ms: 0, .. } => (10, self.unchanged()),
-            StoreRequest::Watch { .. } => return,
+            StoreRequest::Watch { .. } => {
+                self.open_watches += 1;
+                return;
+            }
         };
         let at = monotonic + after;
         self.due.push(DueReply { at, call, reply });
@@ -94,6 +99,7 @@
                 revision: 20_000,
                 due: Vec::new(),
                 page_delay_ms,
+                open_watches: 0,
             },
             monotonic: 1_000_000,
             answers: Vec::new(),
@@ -208,6 +214,19 @@
     }
 }
 
+/// Guards against a controller that learns of changes late after a full read: a watch that was sent before
+/// the read stays open, and its reply is ignored, so another one has to be sent at once.
+#[test]
+fn a_new_watch_is_sent_after_a_full_read() {
+    let mut cluster = Cluster::new(10);
+    cluster.run(1_500);
+    let watches = cluster.store.open_watches;
+    cluster.controller.watch_cache.invalidate();
+    cluster.run(100);
+    assert!(cluster.controller.watch_cache.is_complete());
+    assert_eq!(cluster.store.open_watches, watches + 1);
+}
+
 /// Guards against a new leader that loads the shard without some jobs: while it waits for the watch
 /// cache, it must not disturb the full read that fills it.
 #[test]
--- a/src/controller/watching.rs
+++ b/src/controller/watching.rs
@@ -95,8 +95,12 @@
         }
     }
 
-    /// Handles the reply to a watch.
+    /// Handles the reply to a watch. One that was sent before a full read says nothing about the watch
+    /// that was sent after it.
     pub(super) fn on_watch_reply(&mut self, position: WatchPosition, reply: StoreReply) {
+        if !self.watch_cache.continues_from(position) {
+            return;
+        }
         let pause = match self.apply_watch_log(position, reply) {
             WatchOutcome::UpToDate => WATCH_PAUSE_MS,
             WatchOutcome::Superseded | WatchOutcome::Failed => RETRY_MS,
@@ -147,7 +151,11 @@
                 tracing::error!("received an empty page that is marked as not the last");
                 self.on_full_read_failed();
             }
-            PageOutcome::Complete(changes) => self.on_watched_changes(changes),
+            PageOutcome::Complete(changes) => {
+                // An earlier watch may be open for seconds, and its reply will be ignored.
+                self.watch_state.watch_answered(self.now);
+                self.on_watched_changes(changes);
+            }
         }
     }
 
--- a/src/store/watch_cache.rs
+++ b/src/store/watch_cache.rs
@@ -176,6 +176,12 @@
         }
     }
 
+    /// Returns whether the cache was last read as a whole before `position`, so that it continues from
+    /// there.
+    pub fn continues_from(&self, position: WatchPosition) -> bool {
+        position.full_read == self.last_full_read
+    }
+
     /// Handles the reply that the service no longer keeps all changes after `position`. Only a
     /// cache that is still there has missed changes: since the request was sent, another reply or
     /// a full read may have brought it past them.
@@ -195,7 +201,7 @@
         revision: u64,
         events: Vec<WatchEvent>,
     ) -> Option<Vec<WatchedChange>> {
-        if !self.is_complete() || position.full_read != self.last_full_read {
+        if !self.is_complete() || !self.continues_from(position) {
             return None;
         }
         let known = self.revision;
