Send no new message to a controller that is no member now

Cause: after a cancellation the watch cache is older than the commit, and a controller that was a member once was announced the end even if the cache showed no key of it. It may run an older version by then, which drops the link on a message that it doesn't know. And an end in the answer of a controller of an older version counted as confirmed, although such a controller tells "done" at once.

Change: ends are announced to members only; one that may have become a member since is waited for until the watch cache shows it. An end in the answer of a controller that was never a member is confirmed first, unless a cancellation was forwarded to it, which older versions confirm as well.

Found by reading.

--- a/src/admission/end_confirmations.rs
+++ b/src/admission/end_confirmations.rs
@@ -30,11 +30,11 @@
 /// What another controller may still do after a revision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Participation {
-    /// It is a member, or may have become one again.
+    /// It is a member.
     Member,
     /// It is reachable and has never been a member: it may be of an older version.
     OlderVersion,
-    /// It has never been a member as of an earlier revision, and is not reachable.
+    /// It was no member as of an earlier revision, and may have become one.
     Unknown,
     /// It gives no answers of its own.
     Absent,
@@ -44,15 +44,10 @@
     fn of(context: &AdmissionContext<'_>, node: &str, revision: u64) -> Participation {
         let watch_cache = context.watch_cache;
         let is_recent = watch_cache.is_complete() && watch_cache.revision() >= revision;
-        if watch_cache.was_member(node) {
-            let is_member = watch_cache.member_version(node).is_some();
-            return if is_member || !is_recent {
-                Participation::Member
-            } else {
-                Participation::Absent
-            };
-        }
-        if context.peers.is_peer_reachable(context.now, node) {
+        let is_reachable = context.peers.is_peer_reachable(context.now, node);
+        if watch_cache.member_version(node).is_some() {
+            Participation::Member
+        } else if is_reachable && !watch_cache.was_member(node) {
             Participation::OlderVersion
         } else if is_recent {
             Participation::Absent
--- a/src/admission/relays.rs
+++ b/src/admission/relays.rs
@@ -2,7 +2,7 @@
 
 use super::answers::{self, Unavailable};
 use super::pending::Awaited;
-use super::{Admission, AdmissionContext, AdmissionEffect};
+use super::{Admission, AdmissionContext, AdmissionEffect, JobRequestKind};
 use crate::peers::Answer;
 
 impl Admission {
@@ -23,10 +23,15 @@
         let end = answers::end_in_answer(&answer);
         match (&request.awaited, end) {
             (Awaited::PeerAnswer { .. }, Some(end)) => {
-                // The other controller has answered only after the end was confirmed.
+                // A member, and a controller of an older version in the case of a cancellation, answers
+                // only after the end was confirmed.
+                let is_cancellation = matches!(request.job_request.kind, JobRequestKind::Cancellation);
+                let is_confirmed = is_cancellation || context.watch_cache.was_member(node);
                 self.note_end(context.now, &job_id, end, context.watch_cache.revision());
-                self.end_cache.confirm_completely(&job_id);
-                self.answer_end(request_id, &job_id)
+                if is_confirmed {
+                    self.end_cache.confirm_completely(&job_id);
+                }
+                self.report_end(context, request_id)
             }
             (Awaited::PeerAnswer { .. }, None) => self.pass_on(context, request_id, &job_id, answer),
             // The reply of an older version to the question for a confirmation.
