--- a/src/controller/tests/answer_order.rs
+++ b/src/controller/tests/answer_order.rs
@@ -214,8 +214,8 @@
         cluster.nodes[relaying].is_refused = true;
         cluster.run(5_000);
         let passed_on = cluster.ask(relaying, submission());
-        // The request reaches the leader, which reads and answers.
-        cluster.run(40);
+        // The request reaches the leader, which reads and answers. Its answer is on its way.
+        cluster.run(30);
         cluster.nodes[relaying].is_suspended = true;
         finish_job(&mut cluster);
         let poll = cluster.ask(teller, poll());
