Keep a denial that is passed on from following an acceptance

Cause: before a denial the other members promise not to accept the job for a while, but the controller that denies did not bind itself.

Change: a controller that denies a job to another one promises the same for as long as the denial may be passed on. An end that became known during the question takes the denial's place.

a_denial_that_is_passed_on_is_not_older_than_an_acceptance was red before and draws nothing at random. Found by reading the change once more.

--- a/src/admission/confirmations.rs
+++ b/src/admission/confirmations.rs
@@ -4,7 +4,7 @@
 use super::cancellations::cancellation_write;
 use super::evidence::{Evidence, RELAY_LIFETIME_MS};
 use super::pending::Awaited;
-use super::{Admission, AdmissionContext, AdmissionEffect, JobRequest, JobRequestKind, Requester};
+use super::{Admission, AdmissionContext, AdmissionEffect, JobRequest, JobRequestKind};
 use crate::Millis;
 use crate::peers::Answer;
 use crate::store::{EndValue, StoreReply};
@@ -154,7 +154,7 @@
             request.awaited = Awaited::DenialPromise;
             return Vec::new();
         }
-        let is_for_peer = matches!(request.requester, Requester::Peer { .. });
+        let is_for_peer = request.is_for_peer();
         if self.learn_end(context, &job_id) {
             tracing::debug!(job = job_id, "replaced a stale answer with the job's end");
             return self.report_end(context, request_id);
--- a/src/admission/denials.rs
+++ b/src/admission/denials.rs
@@ -7,7 +7,7 @@
 //! user is asked to retry.
 
 use super::answers::Unavailable;
-use super::evidence::{DENIAL_LIFETIME_MS, DENIAL_PROMISE_MS, Evidence};
+use super::evidence::{DENIAL_LIFETIME_MS, DENIAL_PROMISE_MS, Evidence, RELAY_LIFETIME_MS};
 use super::pending::Awaited;
 use super::{Admission, AdmissionContext, AdmissionEffect, JobRequestKind};
 use crate::Millis;
@@ -44,7 +44,7 @@
             .filter(|node| context.watch_cache.member_version(node).is_some())
             .collect();
         if members.is_empty() {
-            return self.finish(context, request_id, answer);
+            return self.deny(context, request_id, answer);
         }
         let job_id = &request.job_request.job_id;
         let ask = |node: &String| AdmissionEffect::ConfirmUnknown {
@@ -89,6 +89,23 @@
             return Vec::new();
         }
         let answer = answer.clone();
+        self.deny(context, request_id, answer)
+    }
+
+    /// Gives a denial that the other members have confirmed. While another controller may still pass it
+    /// on, this one doesn't call the job accepted either.
+    fn deny(&mut self, context: &AdmissionContext<'_>, request_id: u64, answer: Answer) -> Vec<AdmissionEffect> {
+        let Some(request) = self.pending.get(&request_id) else {
+            return Vec::new();
+        };
+        let is_for_peer = request.is_for_peer();
+        let job_id = request.job_request.job_id.clone();
+        if self.learn_end(context, &job_id) {
+            return self.report_end(context, request_id);
+        }
+        if is_for_peer && !self.denial_promises.extend(&job_id, context.now + RELAY_LIFETIME_MS) {
+            return self.finish(context, request_id, Unavailable::TooManyRequests.answer());
+        }
         self.finish(context, request_id, answer)
     }
 
--- a/src/admission/pending.rs
+++ b/src/admission/pending.rs
@@ -80,6 +80,11 @@
         }]
     }
 
+    /// Returns whether another controller passes the answer on to its user.
+    pub(super) fn is_for_peer(&self) -> bool {
+        matches!(self.requester, Requester::Peer { .. })
+    }
+
     /// Returns whether the request has been pending for longer than its timeout.
     pub(super) fn is_timed_out(&self, now: Millis) -> bool {
         let timeout = match self.job_request.kind {
--- a/src/controller/tests/late_answers.rs
+++ b/src/controller/tests/late_answers.rs
@@ -3,6 +3,8 @@
 
 use super::answer_order::*;
 use super::cluster_fixture::*;
+use super::user_fixture::JOB;
+use super::*;
 
 /// Returns whether `given` was given after `told` and calls the job unfinished.
 fn is_older(given: &GivenAnswer, told: &GivenAnswer) -> bool {
@@ -101,3 +103,29 @@
     let given = cluster.answer_to(old).expect("an answer");
     assert!(!is_older(&given, &told), "{told:?}, then {given:?}");
 }
+
+/// Guards against a denial that the leader gave another controller to pass on, and that reaches the user
+/// after the leader itself accepted the job. The one that passes it on is suspended for a short time.
+#[test]
+fn a_denial_that_is_passed_on_is_not_older_than_an_acceptance() {
+    let malformed = UserRequest::Submit(format!("{{\"id\": \"{JOB}\"}}"));
+    for asked_after_ms in (40..=80).step_by(10) {
+        for suspended_ms in (0..=200).step_by(10) {
+            let mut cluster = Cluster::new(vec![catalogue()]);
+            let (leader, relaying, _) = roles(&cluster);
+            let denial = cluster.ask(relaying, malformed.clone());
+            // The leader reads, asks the members and answers.
+            cluster.run(asked_after_ms);
+            cluster.nodes[relaying].is_suspended = true;
+            let submitted = cluster.ask(leader, submission());
+            cluster.run(suspended_ms);
+            cluster.nodes[relaying].is_suspended = false;
+            cluster.run(4_000);
+            let accepted = cluster.answer_to(submitted).expect("an answer");
+            assert!(matches!(accepted.answer.status, 200 | 201), "{accepted:?}");
+            let given = cluster.answer_to(denial).expect("an answer");
+            let is_older = given.answer.status == 400 && given.at >= accepted.at;
+            assert!(!is_older, "{suspended_ms} ms: {accepted:?}, then {given:?}");
+        }
+    }
+}
