Failing tests: a copy of an answered start runs a task again

A direct start that was answered 200 is carried out once more by the worker after the attempt ended and was forgotten. Three tests without a draw: the task was moved in between, cancelled in between, or its start was refused.

--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -13,8 +13,10 @@
 mod large_jobs;
 mod late_answers;
 mod memory_store;
+mod repeated_commands;
 mod user_fixture;
 mod watch_cache_reads;
+mod worker_stand_in;
 
 fn at(monotonic: Millis) -> Now {
     Now {
--- a/src/controller/tests/cluster_fixture.rs
+++ b/src/controller/tests/cluster_fixture.rs
@@ -3,11 +3,16 @@
 //! sent, and the test says whose replies are late and who is suspended, cut off or down.
 
 use super::memory_store::MemoryStore;
+use super::worker_stand_in::WorkerStandIn;
 use super::*;
+use crate::wire::{DirectCommands, Report};
 
 /// The time between two steps of the cluster, and that until a reply or message arrives.
 const STEP_MS: Millis = 10;
 
+/// The numbers of workers' requests follow this one; those of users are lower.
+const LAST_USER_REQUEST: u64 = 1 << 32;
+
 /// A watch that waits for a change.
 struct OpenWatch {
     node: usize,
@@ -48,9 +53,11 @@
     pub now: Millis,
     pub nodes: Vec<Node>,
     pub answers: Vec<GivenAnswer>,
+    pub workers: Vec<WorkerStandIn>,
     store: MemoryStore,
     watches: Vec<OpenWatch>,
     last_request: u64,
+    last_incarnation: u64,
 }
 
 /// The settings of one of three controllers.
@@ -83,9 +90,11 @@
             now: 1_000_000,
             nodes: (0..3).map(node).collect(),
             answers: Vec::new(),
+            workers: Vec::new(),
             store: MemoryStore::default(),
             watches: Vec::new(),
             last_request: 0,
+            last_incarnation: 100,
         };
         for (key, value) in keys {
             cluster.write(&key, value);
@@ -113,6 +122,14 @@
         self.watches.retain(|watch| watch.node != node);
     }
 
+    /// Ends a controller and starts it again at once, as a new incarnation.
+    pub fn restart(&mut self, node: usize) {
+        self.end(node);
+        self.last_incarnation += 1;
+        let controller = Controller::new(settings_of(node), Policy::default(), self.last_incarnation);
+        self.nodes[node].controller = Some(controller);
+    }
+
     /// Sends a user's request to a controller, and returns its number.
     pub fn ask(&mut self, node: usize, user_request: UserRequest) -> u64 {
         self.last_request += 1;
@@ -144,12 +161,30 @@
             self.now += STEP_MS;
             self.store.expire_leases(self.now);
             self.answer_watches();
+            self.run_workers();
             for node in 0..self.nodes.len() {
                 self.run_node(node);
             }
         }
     }
 
+    /// Lets the workers send the reports that are due.
+    fn run_workers(&mut self) {
+        let (now, nodes) = (self.now, self.nodes.len());
+        for index in 0..self.workers.len() {
+            if let Some((node, report)) = self.workers[index].due_report(now, nodes) {
+                self.send_report(node, index, report);
+            }
+        }
+    }
+
+    fn send_report(&mut self, node: usize, worker: usize, report: Report) {
+        let request = LAST_USER_REQUEST + 1 + worker as u64;
+        let report = Box::new(report);
+        let input = Input::Report { request, report };
+        self.nodes[node].arriving.push((self.now + STEP_MS, input));
+    }
+
     /// Delivers what has arrived at a controller, and a tick. The replies of the state service come
     /// first.
     fn run_node(&mut self, node: usize) {
@@ -174,17 +209,42 @@
             match output {
                 Output::Store { call, request } => self.send_to_store(node, call, request),
                 Output::Peer { node: to, message } => self.send_to_peer(node, &to, message),
+                Output::Answer { request, answer } if request > LAST_USER_REQUEST => {
+                    let worker = (request - LAST_USER_REQUEST - 1) as usize;
+                    self.workers[worker].receive_answer(self.now, &answer);
+                }
                 Output::Answer { request, answer } => self.answers.push(GivenAnswer {
                     at: self.now,
                     node,
                     request,
                     answer,
                 }),
-                Output::Cloud { .. } | Output::Worker { .. } => {}
+                Output::Worker {
+                    call,
+                    address,
+                    commands,
+                } => self.send_to_worker(node, call, &address, commands),
+                Output::Cloud { .. } => {}
             }
         }
     }
 
+    /// Lets the worker at this address execute direct commands, and replies. A worker that is silent
+    /// gets and sends nothing.
+    fn send_to_worker(&mut self, node: usize, call: u64, address: &str, commands: DirectCommands) {
+        let now = self.now;
+        let worker = self.workers.iter_mut().find(|worker| worker.name == address);
+        let Some(worker) = worker.filter(|worker| !worker.is_silent) else {
+            return;
+        };
+        worker.senders.push(node);
+        let reply = worker.receive_commands(now, &commands);
+        worker.received.push(commands);
+        self.nodes[node]
+            .arriving
+            .push((now + STEP_MS, Input::Worker { call, reply }));
+    }
+
     fn send_to_store(&mut self, node: usize, call: u64, request: StoreRequest) {
         let concerns_lease = matches!(request, StoreRequest::Grant { .. } | StoreRequest::Renew(_));
         if self.nodes[node].is_refused || concerns_lease && self.nodes[node].has_leases_refused {
