Forget an attempt only under a higher fencing token than its direct start

Cause: a reply was taken as proof of more than it answers. A 200 proves that one copy was carried out, not that no other will be: a worker refuses a copy only while it lists the attempt, in a later agent epoch, or once it has seen a higher token. The bookkeeping asked for unanswered starts only.

Fix: a claim reserves a range of 2^20 tokens, whose last one is stored in the term key, so that the next leader's lie above it, also one of an earlier version that counts one up. The leader raises the token of one machine alone, in the answer to a report, without a write, when an exited task is to be forgotten or an unwanted attempt may still start. WorkerTokens keeps, for each machine, the highest token under which a start was sent directly, answered or not; the attempt keeps its own. They take the place of unconfirmed_start_term, has_starts, the raise of the term at 40 exited tasks and the one for a job that waits beside such a machine. Raised in answers only, and with no direct call in flight below 40 listed tasks, so that an answer never carries a lower token than the worker has seen.

Evidence: six of the seven tests in src/controller/tests/repeated_commands.rs failed before (moved, cancelled, refused, either route, change of leader, a machine that was silent; the last one checks that tasks are forgotten and no answer is dropped); all pass now. Nothing is drawn in them.

--- a/src/controller/claim.rs
+++ b/src/controller/claim.rs
@@ -6,7 +6,6 @@
 use crate::Millis;
 use crate::controller::SHARD;
 use crate::election::Phase;
-use crate::ids::MachineIx;
 use crate::store::{StoreReply, StoreRequest};
 use crate::wire::{Change, Transaction};
 use std::sync::Arc;
@@ -119,13 +118,6 @@
             return;
         };
         shard.term = self.election.term();
-        let unconfirmed = shard
-            .workers
-            .machines
-            .iter()
-            .filter(|(_, machine)| machine.unconfirmed_start_term > 0);
-        let unconfirmed: Vec<MachineIx> = unconfirmed.map(|(ix, _)| ix).collect();
-        shard.workers.delivery_due.extend(unconfirmed);
         self.placement_rounds.request();
     }
 
--- a/src/controller/command_delivery.rs
+++ b/src/controller/command_delivery.rs
@@ -14,8 +14,6 @@
 pub(super) struct DirectCall {
     /// The machine's name. Its index may belong to another machine by the time of the reply.
     pub(super) machine: String,
-    /// The term under which the commands were sent.
-    pub(super) term: u64,
     pub(super) sent_at: Millis,
 }
 
--- a/src/controller/direct_commands.rs
+++ b/src/controller/direct_commands.rs
@@ -7,7 +7,7 @@
 use crate::Millis;
 use crate::ids::MachineIx;
 use crate::peers::{AddressedCommands, Message, batches};
-use crate::wire::{Command, DirectCommands};
+use crate::wire::DirectCommands;
 use crate::workers::ReportPath;
 use std::collections::BTreeMap;
 
@@ -20,8 +20,7 @@
     /// The peer that relayed the machine's last report.
     relayed_by: Option<String>,
     address: String,
-    agent_epoch: u64,
-    commands: Vec<Command>,
+    commands: DirectCommands,
 }
 
 impl Controller {
@@ -70,10 +69,8 @@
 
     /// Registers the commands as in flight under a new call id.
     fn start_delivery(&mut self, due: DueCommands) -> AddressedCommands {
-        let term = self.election.term();
         let direct_call = DirectCall {
             machine: due.name,
-            term,
             sent_at: self.now,
         };
         let call = self.next_call_id();
@@ -81,11 +78,7 @@
         AddressedCommands {
             id: call,
             address: due.address,
-            commands: DirectCommands {
-                fencing_token: term,
-                agent_epoch: due.agent_epoch,
-                commands: due.commands,
-            },
+            commands: due.commands,
         }
     }
 
@@ -139,9 +132,6 @@
             return;
         };
         machine.delivery.in_flight = false;
-        if *reply == WorkerReply::Unanswered && machine.delivery.has_starts {
-            machine.unconfirmed_start_term = machine.unconfirmed_start_term.max(direct_call.term);
-        }
         if matches!(reply, WorkerReply::Unanswered | WorkerReply::NotDelivered) {
             machine.delivery.not_before = now + RETRY_MS;
             // Retry once by another route, since the route may have failed rather than the machine.
@@ -189,8 +179,9 @@
             return None;
         }
         let (address, agent_epoch) = (machine.address.clone()?, machine.agent_epoch);
+        let fencing_token = machine.tokens.current(self.term);
         self.workers.delivery_due.remove(&ix);
-        let commands = self.commands(now, ix);
+        let commands = self.workers.commands_for_direct_call(now, self.term, ix, &self.jobs);
         let machine = self.workers.machines.get_mut(ix)?;
         let is_responsive =
             machine.last_report_at.is_some() && machine.missed_answers == 0 && !machine.has_unanswered_command;
@@ -198,13 +189,15 @@
             return None;
         }
         machine.delivery.in_flight = true;
-        machine.delivery.has_starts = commands.iter().any(|command| matches!(command, Command::Start { .. }));
         Some(DueCommands {
             name: machine.name.clone(),
             relayed_by: machine.relayed_by.clone(),
             address,
-            agent_epoch,
-            commands,
+            commands: DirectCommands {
+                fencing_token,
+                agent_epoch,
+                commands,
+            },
         })
     }
 }
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -125,7 +125,7 @@
     /// `relayed_by` names the peer that relayed the report, if any.
     pub(super) fn answer_report(&mut self, report: &Report, relayed_by: Option<&str>) -> Option<ReportAnswer> {
         let merged = self.merge_worker_report(report, ReportPath::Heartbeat)?;
-        let (now, fencing_token) = (self.now, self.election.term());
+        let now = self.now;
         let shard = self.shard.as_mut()?;
         if let MergeOutcome::Newest(ix) = merged
             && let Some(machine) = shard.workers.machines.get_mut(ix)
@@ -149,7 +149,7 @@
             MergeOutcome::HigherFencingToken | MergeOutcome::MachineDeleted => return None,
         };
         Some(ReportAnswer {
-            fencing_token,
+            fencing_token: shard.fencing_token_of(&report.machine),
             commands,
         })
     }
--- a/src/controller/shard/loading.rs
+++ b/src/controller/shard/loading.rs
@@ -48,8 +48,6 @@
             address,
             group: Some(group_ix),
             is_persisted: true,
-            // A start command of an earlier term may still arrive.
-            unconfirmed_start_term: self.term.saturating_sub(1),
             ..Machine::new(&name, Offer { type_ix, zone, spot }, now)
         };
         let ix = self.workers.machines.insert(&name, machine);
@@ -103,7 +101,11 @@
         let Some(job) = self.jobs.table.get_mut(job_ix) else {
             return;
         };
-        let attempt = attempt_from_record(job_ix, job, machine_ix, record);
+        let attempt = Attempt {
+            // The former leader may have sent its start command.
+            direct_start_token: Some(self.term.saturating_sub(1)),
+            ..attempt_from_record(job_ix, job, machine_ix, record)
+        };
         let attempt_ix = self.workers.attempts.insert(attempt);
         job.open.insert(record.task, attempt_ix);
         let resources = job.shape.resources;
--- a/src/controller/shard/mod.rs
+++ b/src/controller/shard/mod.rs
@@ -26,7 +26,8 @@
 pub struct Shard {
     /// The shard's name, which is part of its keys in the state service.
     pub name: String,
-    /// The term under which this leader holds its claim. It increases when the leader raises its term.
+    /// The term under which this leader holds its claim, and the first fencing token of that term. It
+    /// increases when the leader raises its term.
     pub term: u64,
     /// The operator's policy for placement and scaling.
     pub policy: Policy,
--- a/src/controller/shard/reports.rs
+++ b/src/controller/shard/reports.rs
@@ -49,6 +49,13 @@
         self.workers.commands_for_answer(now, self.term, ix, &self.jobs)
     }
 
+    /// Returns the fencing token of the next message to a machine's worker.
+    pub fn fencing_token_of(&self, name: &str) -> u64 {
+        let machine = self.workers.machines.find(name);
+        let machine = machine.and_then(|ix| self.workers.machines.get(ix));
+        machine.map_or(self.term, |machine| machine.tokens.current(self.term))
+    }
+
     /// Returns the commands that a machine's worker should receive now, in order.
     pub fn commands(&self, now: Millis, ix: MachineIx) -> Vec<Command> {
         self.workers.commands(now, self.term, ix, &self.jobs)
--- a/src/controller/tests/repeated_commands.rs
+++ b/src/controller/tests/repeated_commands.rs
@@ -119,3 +119,80 @@
         .for_each(|worker| worker.receive_all_again(now));
     assert_eq!(started(&cluster), 1);
 }
+
+/// Guards against the same by the other route: relayed by a peer, or sent by a leader that reaches no peer.
+#[test]
+fn a_copy_of_a_start_runs_nothing_on_either_route() {
+    for is_relayed in [true, false] {
+        let mut cluster = cluster_with_workers();
+        let leader = cluster.leader();
+        if !is_relayed {
+            cluster.nodes[leader].is_cut_from_peers = true;
+            cluster.workers.iter_mut().for_each(|worker| worker.report_to(leader));
+            // The next reports are not due while the job is submitted.
+            cluster.run(3_300);
+        }
+        submit(&mut cluster);
+        cluster.run(3_000);
+        let first = cluster.workers.iter().position(|worker| !worker.started.is_empty());
+        let first = first.expect("a running task");
+        assert!(was_started_directly(&cluster.workers[first]));
+        assert_eq!(cluster.workers[first].senders.last() != Some(&leader), is_relayed);
+        cluster.workers[first].end_tasks(ExitReason::Error);
+        cluster.run(8_000);
+        assert!(has_forgotten(&cluster));
+        cluster.workers[first].receive_all_again(cluster.now);
+        let attempts: BTreeSet<_> = cluster.workers[first].started.iter().collect();
+        assert_eq!(attempts.len(), cluster.workers[first].started.len());
+    }
+}
+
+/// Guards against copies of a former leader's starts, also if the same controller leads again at once.
+#[test]
+fn a_copy_of_a_start_runs_nothing_after_a_change_of_leader() {
+    for is_back_at_once in [true, false] {
+        for ended_before_ms in [0, 3_000] {
+            let (mut cluster, first) = cluster_with_running_task();
+            let leader = cluster.leader();
+            cluster.workers[first].end_tasks(ExitReason::Error);
+            cluster.run(ended_before_ms);
+            if is_back_at_once {
+                cluster.restart(leader);
+            } else {
+                cluster.end(leader);
+            }
+            cluster.run(20_000);
+            assert!(has_forgotten(&cluster));
+            assert_no_copy_starts_an_attempt(&mut cluster);
+        }
+    }
+}
+
+/// Guards against the same on a machine that is back within a second, in its former agent epoch.
+#[test]
+fn a_copy_of_a_start_runs_nothing_on_a_machine_that_was_silent() {
+    let (mut cluster, first) = cluster_with_running_task();
+    cluster.workers[first].end_tasks(ExitReason::Error);
+    cluster.workers[first].is_silent = true;
+    cluster.run(1_000);
+    cluster.workers[first].is_silent = false;
+    cluster.run(10_000);
+    assert!(has_forgotten(&cluster));
+    assert_no_copy_starts_an_attempt(&mut cluster);
+}
+
+/// Guards against exited tasks that stay listed for ever, and against answers that the worker drops.
+#[test]
+fn every_exited_task_is_forgotten_although_copies_may_come() {
+    let (mut cluster, first) = cluster_with_running_task();
+    for _ in 0..20 {
+        for worker in &mut cluster.workers {
+            worker.end_tasks(ExitReason::Stopped);
+        }
+        cluster.run(4_000);
+    }
+    let running = |worker: &WorkerStandIn| worker.started.len() - worker.forgotten.len();
+    assert!(cluster.workers[first].started.len() > 1);
+    assert!(cluster.workers.iter().map(running).sum::<usize>() <= 2);
+    assert!(cluster.workers.iter().all(|worker| worker.dropped_answers == 0));
+}
--- a/src/election/claim.rs
+++ b/src/election/claim.rs
@@ -2,6 +2,7 @@
 
 use super::{LeaderElection, Phase};
 use crate::Millis;
+use crate::fencing::last_token;
 use crate::store::{Keys, LeaderValue, TermValue, WatchCache};
 use crate::wire::{Change, Condition, Transaction};
 use serde_json::json;
@@ -43,11 +44,11 @@
     }
 
     /// Returns the transaction that writes the claim if the leader key still has this version,
-    /// and increments the term.
+    /// and begins the next term, which reserves the fencing tokens that follow all earlier ones.
     fn claim(&mut self, keys: &Keys, leader_version: u64, watch_cache: &WatchCache) -> Transaction {
-        let (known_term, term_version) = watch_cache.term();
+        let (reserved, term_version) = watch_cache.term();
         self.phase = Phase::Claiming;
-        self.term = known_term.max(self.term) + 1;
+        self.term = reserved.max(last_token(self.term)).saturating_add(1);
         let value = LeaderValue {
             node: self.node.clone(),
             incarnation: self.incarnation,
@@ -65,7 +66,12 @@
                     value: json!(value),
                     lease: self.lease,
                 },
-                Change::put(keys.term(), json!(TermValue { term: self.term })),
+                Change::put(
+                    keys.term(),
+                    json!(TermValue {
+                        term: last_token(self.term)
+                    }),
+                ),
             ],
         }
     }
--- a/src/election/mod.rs
+++ b/src/election/mod.rs
@@ -1,8 +1,9 @@
 //! Leader election: the claim on the shard, its lease, and the term.
 //!
 //! One key holds the claim and is attached to a lease of the state service. The
-//! transaction that claims the shard also increments the term, which is the fencing token
-//! that workers check. A leader that claims the shard again increments the term again.
+//! transaction that claims the shard also begins a new term and reserves its fencing tokens
+//! ([`crate::fencing`]), which workers check. A leader that claims the shard again begins another
+//! term.
 //!
 //! The lease is considered valid from the time at which its last successful renewal was
 //! *sent*, so it may be considered expired too early but never too late. The age of the
--- a/src/election/tests.rs
+++ b/src/election/tests.rs
@@ -1,8 +1,9 @@
 use super::extension::REQUEST_LEASE_AGE_MS;
 use super::phase::ISOLATED_CLAIM_DELAY_MS;
 use super::*;
+use crate::fencing::last_token;
 use crate::store::{Keys, LeaderValue, WatchCache};
-use crate::wire::{Entry, Page};
+use crate::wire::{Change, Entry, Page, Transaction};
 use serde_json::json;
 
 const MAX_WATCH_CACHE_AGE_MS: Millis = 5_000;
@@ -117,6 +118,49 @@
     );
 }
 
+/// Returns the number that a claim stores under the term key.
+fn stored_term(transaction: &Transaction, keys: &Keys) -> u64 {
+    let stored = transaction.changes.iter().find_map(|change| match change {
+        Change::Put { put, value, .. } if *put == keys.term() => value["term"].as_u64(),
+        _ => None,
+    });
+    stored.expect("a term")
+}
+
+/// Guards against a fencing token that two leaders give out, also if a controller without ranges, which
+/// takes the number after the stored one, leads in between, and if a range was never used.
+#[test]
+fn no_two_terms_reserve_the_same_fencing_token() {
+    let keys = Keys::new("pool");
+    let mut stored = 0;
+    let mut highest_token = 0;
+    for claim in 0..6_u64 {
+        if claim % 2 == 1 {
+            // An earlier version of the program.
+            stored += 1;
+            assert!(stored > highest_token);
+            highest_token = stored;
+            continue;
+        }
+        let term = Entry {
+            key: keys.term(),
+            value: json!({ "term": stored }),
+            version: claim,
+        };
+        let mut election = LeaderElection::new("a", 1 + claim, MAX_WATCH_CACHE_AGE_MS);
+        let watch_cache = watch_cache_with(&keys, vec![term]);
+        let first = election.claim_with_lease(9, 0, &keys, &watch_cache).expect("a claim");
+        assert!(election.term() > highest_token);
+        stored = stored_term(&first, &keys);
+        assert_eq!(stored, last_token(election.term()));
+        // The watch cache does not show the first claim yet.
+        let second = election.raise_term(&keys, &watch_cache);
+        assert!(election.term() > stored);
+        stored = stored_term(&second, &keys);
+        highest_token = last_token(election.term());
+    }
+}
+
 /// Guards against stopping all running tasks in an outage of the state service that affects
 /// every controller, in which no controller can claim the shard. The extension counts from the
 /// time of the request, and only if the leadership has not expired before the grant.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod controller;
 pub mod election;
+pub mod fencing;
 pub mod fleet;
 pub mod ids;
 pub mod membership;
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -120,7 +120,6 @@
     fn place_job(&mut self, job_ix: JobIx, pass: Pass) {
         let mut ranking = None;
         let mut placed = 0;
-        let mut blocked_until_higher_term = false;
         while placed < pass.max_tasks() && self.starts_left > 0 {
             let Some(next) = self.next_task(job_ix, pass) else {
                 return;
@@ -130,7 +129,6 @@
             }
             match self.choose(job_ix, &mut ranking) {
                 Choice::Start { slot } if self.lists_earlier_attempt(self.view.machine_at(slot), &next) => {
-                    blocked_until_higher_term |= self.has_unconfirmed_start(self.view.machine_at(slot));
                     if let Some(ranking) = &mut ranking {
                         ranking.skip_best();
                     }
@@ -141,7 +139,7 @@
                     ranking = ranking.filter(|ranking| next.can_reuse_ranking(ranking));
                 }
                 Choice::Wait { until } => return self.wait(job_ix, until),
-                Choice::NoRoom => return self.found_no_room(&next, blocked_until_higher_term),
+                Choice::NoRoom => return self.found_no_room(&next),
             }
         }
     }
@@ -218,14 +216,6 @@
             .any(|unmatched| parse_task_name(&unmatched.task) == Some((job.id.as_str(), next.task)))
     }
 
-    /// Whether a start command of this term went unanswered and may still reach the
-    /// machine. The machine is then sent no commands to forget ended attempts, so it keeps
-    /// listing them until the term is raised.
-    fn has_unconfirmed_start(&self, machine: MachineIx) -> bool {
-        let machine = self.context.workers.machines.get(machine);
-        machine.is_some_and(|machine| machine.has_unconfirmed_start_of(self.context.term))
-    }
-
     /// Opens an attempt of the task on the machine of this slot.
     fn start(&mut self, next: &NextTask, slot: usize) {
         self.view.assign(slot, next.resources, next.image);
@@ -249,21 +239,9 @@
     }
 
     /// Handles a task for which no machine has room.
-    ///
-    /// `blocked_until_higher_term`: a machine has room, but lists an earlier attempt of the
-    /// task until the term is raised.
-    fn found_no_room(&mut self, next: &NextTask, blocked_until_higher_term: bool) {
+    fn found_no_room(&mut self, next: &NextTask) {
         let now = self.context.now.monotonic;
         if let Some(job) = self.context.jobs.table.get_mut(next.job) {
-            let higher_term_requested = &mut self.context.workers.needs_higher_term;
-            if blocked_until_higher_term && job.has_long_shortage(now) && !*higher_term_requested {
-                // Only a higher term ends this wait.
-                *higher_term_requested = true;
-                tracing::info!(
-                    job = job.id,
-                    "requesting a higher term: an unconfirmed start keeps a job waiting"
-                );
-            }
             job.clear_failed_on_after_long_shortage(now);
             // Without a reservation, small tasks could keep filling the machine that this
             // task needs.
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -31,9 +31,9 @@
         format!("live/{}/owner", self.shard)
     }
 
-    /// The key of the highest term so far, a [`TermValue`](super::TermValue). Written together
-    /// with every claim. It is not attached to the lease, so that terms, which are the fencing
-    /// tokens checked by workers, are never reused.
+    /// The key of the last fencing token reserved so far, a [`TermValue`](super::TermValue).
+    /// Written together with every claim. It is not attached to the lease, so that the tokens,
+    /// which workers check, are never reused.
     pub fn term(&self) -> String {
         format!("live/{}/term", self.shard)
     }
--- a/src/store/values.rs
+++ b/src/store/values.rs
@@ -37,10 +37,11 @@
     pub ended: Option<JobState>,
 }
 
-/// The value of the term key: the highest term ever claimed.
+/// The value of the term key: the last fencing token that any term has reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TermValue {
-    /// The term, which is the fencing token of the leader that claimed it.
+    /// The last fencing token of the highest term. The next term begins above it; a controller that
+    /// reserves no range takes the next number as its only token.
     pub term: u64,
 }
 
--- a/src/store/watch_cache.rs
+++ b/src/store/watch_cache.rs
@@ -58,7 +58,7 @@
     last_full_read: FullReadId,
     /// The leader's claim and the version of its key.
     leader: Option<(LeaderValue, u64)>,
-    /// The highest term and the version of its key.
+    /// The last fencing token that any term has reserved, and the version of its key.
     term: (u64, u64),
     catalogue: Option<Value>,
     /// The version of the key of each member, by the name of the controller.
@@ -124,7 +124,8 @@
         self.leader.as_ref()
     }
 
-    /// Returns the highest term and the version of its key, or zeros if the key does not exist.
+    /// Returns the last fencing token that any term has reserved and the version of its key, or
+    /// zeros if the key does not exist.
     pub fn term(&self) -> (u64, u64) {
         self.term
     }
--- a/src/workers/absence.rs
+++ b/src/workers/absence.rs
@@ -13,9 +13,6 @@
     EpochEnded,
     /// The attempt is no longer wanted, and no start command for it can still arrive.
     NeverStarts,
-    /// The attempt is no longer wanted, but a start command of this term may still arrive.
-    /// Only a higher fencing token makes the worker reject that command.
-    NeedsHigherTerm,
 }
 
 impl Workers {
@@ -43,7 +40,6 @@
                 Absence::Inconclusive => {}
                 Absence::EpochEnded => merged.end(attempt_ix, Outcome::Lost),
                 Absence::NeverStarts => attempt.withdraw_record(attempt_ix, jobs, merged),
-                Absence::NeedsHigherTerm => self.needs_higher_term = true,
             }
         }
         start_is_missing
@@ -58,15 +54,10 @@
         }
         self.clear_observed_state();
         let is_unwanted = self.stop_grace_s.is_some() && self.record.is_written();
-        if !is_unwanted || machine.may_receive_answered_start(self, received, jobs) {
-            return Absence::Inconclusive;
-        }
-        if !machine.may_receive_direct_start(received.report.fencing_token) {
+        let may_still_start = self.may_be_started_after(received.report.fencing_token)
+            || machine.may_receive_answered_start(self, received, jobs);
+        if is_unwanted && !may_still_start {
             Absence::NeverStarts
-        } else if machine.has_unconfirmed_start_of(received.term) {
-            // A worker that has seen the fencing token of this term rejects starts of
-            // earlier terms. Only a start of this term requires a higher term.
-            Absence::NeedsHigherTerm
         } else {
             Absence::Inconclusive
         }
@@ -106,11 +97,4 @@
         self.answered_starts
             .may_be_executed(&task, attempt.number, commands_sent_at, fencing_token)
     }
-
-    /// Whether a start command that was sent directly may still arrive and be accepted by a
-    /// worker whose highest fencing token is `fencing_token`.
-    fn may_receive_direct_start(&self, fencing_token: u64) -> bool {
-        let is_unconfirmed = self.unconfirmed_start_term > 0 && self.unconfirmed_start_term >= fencing_token;
-        is_unconfirmed || self.delivery.has_starts_in_flight()
-    }
 }
--- a/src/workers/answered_starts.rs
+++ b/src/workers/answered_starts.rs
@@ -3,7 +3,7 @@
 //! They belong to the machine and not to the attempts, because a start command can outlive its
 //! attempt: the same start is also sent directly, so the attempt may run, end and be closed
 //! while the answer is still on its way. Start commands that are sent directly are tracked by
-//! [`super::Delivery`] and `Machine::unconfirmed_start_term`.
+//! [`super::WorkerTokens`].
 
 use crate::Millis;
 use crate::wire::Command;
@@ -17,8 +17,8 @@
 struct AnsweredStart {
     task: String,
     attempt: u64,
-    /// Term of the answer. A worker that has seen a higher fencing token drops the answer.
-    term: u64,
+    /// Fencing token of the answer. A worker that has seen a higher one drops the answer.
+    fencing_token: u64,
     answered_at: Millis,
 }
 
@@ -29,15 +29,15 @@
 }
 
 impl AnsweredStarts {
-    /// Records the start commands in an answer of this term that is given now, and drops the
-    /// recorded ones that have expired.
-    pub(super) fn record(&mut self, now: Millis, term: u64, commands: &[Command]) {
+    /// Records the start commands in an answer under this fencing token that is given now, and drops
+    /// the recorded ones that have expired.
+    pub(super) fn record(&mut self, now: Millis, fencing_token: u64, commands: &[Command]) {
         self.starts.retain(|start| !has_expired(start, now));
         let added = commands.iter().filter_map(|command| match command {
             Command::Start { task, attempt } => Some(AnsweredStart {
                 task: task.clone(),
                 attempt: *attempt,
-                term,
+                fencing_token,
                 answered_at: now,
             }),
             Command::Stop { .. } | Command::Forget { .. } => None,
@@ -56,7 +56,10 @@
     /// seen `fencing_token`.
     pub(super) fn may_be_executed(&self, task: &str, attempt: u64, time: Millis, fencing_token: u64) -> bool {
         self.starts.iter().any(|start| {
-            start.attempt == attempt && start.term >= fencing_token && !has_expired(start, time) && start.task == task
+            start.attempt == attempt
+                && start.fencing_token >= fencing_token
+                && !has_expired(start, time)
+                && start.task == task
         })
     }
 }
--- a/src/workers/attempt.rs
+++ b/src/workers/attempt.rs
@@ -140,6 +140,9 @@
     /// Seconds that the task may take to save its progress, if the attempt is to stop; `None`
     /// while it is wanted.
     pub stop_grace_s: Option<f64>,
+    /// Highest fencing token under which its start command may have been sent directly; `None` if
+    /// it was not.
+    pub direct_start_token: Option<u64>,
 }
 
 impl Attempt {
@@ -156,6 +159,7 @@
             running_since: None,
             start_in_last_answer: false,
             stop_grace_s: None,
+            direct_start_token: None,
         }
     }
 
@@ -171,6 +175,18 @@
         self.record.is_written() && self.observed_state.is_none() && self.stop_grace_s.is_none()
     }
 
+    /// Whether the attempt is to stop although its record is written and the newest report does not
+    /// list it: it ends once it is certain never to start.
+    pub(super) fn is_unwanted_and_unseen(&self) -> bool {
+        self.record.is_written() && self.observed_state.is_none() && self.stop_grace_s.is_some()
+    }
+
+    /// Whether a direct start command may be executed after a command that carries this fencing
+    /// token, or by a worker that has seen it.
+    pub(super) fn may_be_started_after(&self, fencing_token: u64) -> bool {
+        self.direct_start_token.is_some_and(|token| token >= fencing_token)
+    }
+
     /// Records the state in which a report lists the attempt.
     pub(super) fn observe(&mut self, now: Millis, state: TaskState) {
         self.observed_state = Some(state);
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -1,6 +1,6 @@
 //! State of one machine and its worker, as known from its reports and the cloud's lists.
 
-use super::{AnsweredStarts, CloudListing, Delivery, FailureRecord};
+use super::{AnsweredStarts, CloudListing, Delivery, FailureRecord, WorkerTokens};
 use crate::Millis;
 use crate::ids::{AttemptIx, GroupIx, ImageIx, TypeIx, ZoneIx};
 use crate::resources::Offer;
@@ -39,8 +39,8 @@
     pub agent_epoch: u64,
     /// Sequence number of the newest report in that agent epoch.
     pub seq: u64,
-    /// Highest fencing token that the worker has reported.
-    pub fencing_token: u64,
+    /// Fencing tokens that the worker has seen and has been sent.
+    pub tokens: WorkerTokens,
     /// When the last report arrived that was provably sent under this leader: it carried the
     /// fencing token of the leader's term or replied to a direct command. Any other report may
     /// be a delayed copy and is not counted here. `None` until there is such a report.
@@ -62,10 +62,6 @@
     /// Last time at which an answer may have renewed the worker's lease. A new agent epoch also
     /// counts, since it starts with a full lease.
     pub answered_at: Millis,
-    /// Highest term of which a direct start command may still arrive, because it went unanswered
-    /// or a former leader may have sent it; 0 if there is none. The worker rejects the command
-    /// once it has a higher fencing token or a new agent epoch.
-    pub unconfirmed_start_term: u64,
     /// Start commands in answers that the worker may still execute.
     pub answered_starts: AnsweredStarts,
     /// When the cloud will reclaim the machine, if the cloud has given notice.
@@ -113,7 +109,7 @@
             cloud_listing: CloudListing::default(),
             agent_epoch: 0,
             seq: 0,
-            fencing_token: 0,
+            tokens: WorkerTokens::default(),
             last_report_at: None,
             report_due: 0,
             has_unanswered_command: false,
@@ -121,7 +117,6 @@
             expects_effect: false,
             missed_answers: 0,
             answered_at: now,
-            unconfirmed_start_term: 0,
             answered_starts: AnsweredStarts::default(),
             spot_reclaim_at: None,
             marked_unresponsive: false,
@@ -152,13 +147,6 @@
             && now >= self.cordoned_until
     }
 
-    /// Whether a direct start command of this term went unanswered and may still arrive. The
-    /// fencing token of this term makes the worker reject only the start commands of earlier
-    /// terms, so a higher term is needed to prevent this one.
-    pub fn has_unconfirmed_start_of(&self, term: u64) -> bool {
-        self.unconfirmed_start_term >= term
-    }
-
     /// Returns when the last report that was provably sent under this leader arrived, or, if
     /// there is none, when the machine was first known to be up.
     pub fn last_known_up_at(&self) -> Option<Millis> {
--- a/src/workers/merge.rs
+++ b/src/workers/merge.rs
@@ -5,6 +5,7 @@
     parse_task_name,
 };
 use crate::Millis;
+use crate::fencing::last_token;
 use crate::ids::{AttemptIx, MachineIx};
 use crate::pipeline::Jobs;
 use crate::wire::{Report, TaskReport, TaskState};
@@ -13,14 +14,10 @@
 /// counts as late. A worker that loses its controller tries the next one after 5 s.
 const REPORT_DELAY_TOLERANCE_MS: Millis = 6_000;
 
-/// Number of exited tasks in a machine's report at which the leader raises its term. While a
-/// start command may still arrive, the worker must not forget its exited tasks.
-pub(crate) const MAX_LISTED_EXITED_TASKS: usize = 40;
-
 impl Workers {
     /// Returns why a report must be rejected before it is merged; `None` if it is acceptable.
     pub fn reject_report(&self, report: &Report, term: u64) -> Option<MergeOutcome> {
-        if report.fencing_token > term {
+        if report.fencing_token > last_token(term) {
             return Some(MergeOutcome::HigherFencingToken);
         }
         self.was_recently_deleted(&report.machine)
@@ -42,7 +39,6 @@
         let start_is_missing = self.handle_missing_attempts(ix, received, &listed, jobs, &mut merged);
         let answer_had_no_effect = start_is_missing || received.report.fencing_token < received.term;
         self.count_missed_answers(ix, received.path, answer_had_no_effect);
-        self.limit_exited_tasks(ix, received.term);
         merged
     }
 
@@ -56,7 +52,7 @@
         let is_new_epoch = report.agent_epoch > machine.agent_epoch;
         machine.agent_epoch = report.agent_epoch;
         machine.seq = report.seq;
-        machine.fencing_token = machine.fencing_token.max(report.fencing_token);
+        machine.tokens.note_seen(report.fencing_token);
         if is_new_epoch || received.path == ReportPath::Heartbeat {
             machine.answered_starts.settle();
         }
@@ -120,14 +116,6 @@
             self.delivery_due.insert(ix);
         }
     }
-
-    /// Requests a higher term if a machine has to list too many exited tasks because a start
-    /// command of this term may still arrive. This bounds the size of reports.
-    fn limit_exited_tasks(&mut self, ix: MachineIx, term: u64) {
-        self.needs_higher_term |= self.machines.get(ix).is_some_and(|machine| {
-            machine.has_unconfirmed_start_of(term) && machine.count_exited_tasks() >= MAX_LISTED_EXITED_TASKS
-        });
-    }
 }
 
 impl Machine {
@@ -155,19 +143,10 @@
             // so the answers do not reach it.
             self.missed_answers += MISSED_ANSWERS_TO_CORDON;
         }
-        self.unconfirmed_start_term = 0;
+        self.tokens.begin_agent_epoch();
         // A new agent epoch starts with a full lease, even before the first answer.
         self.answered_at = self.answered_at.max(received.now);
     }
-
-    /// Returns the number of exited tasks in the newest report.
-    fn count_exited_tasks(&self) -> usize {
-        let exited = self
-            .unmatched_tasks
-            .iter()
-            .filter(|task| task.state == TaskState::Exited);
-        exited.count()
-    }
 }
 
 impl Attempts {
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -32,6 +32,7 @@
 mod registry;
 mod report;
 mod task_name;
+mod tokens;
 
 pub use answered_starts::AnsweredStarts;
 pub use attempt::{Attempt, CommittedRecord, EndedAttempt, Outcome, RecordState};
@@ -43,8 +44,7 @@
 pub use commands::command_for;
 pub use delivery::Delivery;
 pub use machine::{MISSED_ANSWERS_TO_CORDON, MISSED_ANSWERS_TO_DECOMMISSION, Machine};
-#[cfg(test)]
-pub(crate) use merge::MAX_LISTED_EXITED_TASKS;
 pub use registry::Workers;
 pub use report::{MergeOutcome, MergedReport, ReceivedReport, ReportPath};
 pub use task_name::{parse_task_name, task_name};
+pub use tokens::WorkerTokens;
--- a/src/workers/registry.rs
+++ b/src/workers/registry.rs
@@ -33,8 +33,8 @@
     pub receiving_reports_since: Millis,
     /// Whether anything that placement depends on has changed since the last placement round.
     pub capacity_changed: bool,
-    /// Whether the leader has to raise its term, so that workers reject start commands that may
-    /// still arrive.
+    /// Whether the leader has to raise its term, because a machine has used up the fencing tokens
+    /// of the present one or what is stored contradicts the leader's state.
     pub needs_higher_term: bool,
 }
 
--- a/src/workers/report.rs
+++ b/src/workers/report.rs
@@ -42,7 +42,7 @@
     /// Whether the report was certainly sent in the current term and is no delayed copy of an
     /// earlier one.
     pub fn is_from_current_term(&self) -> bool {
-        self.path.is_command_reply() || self.report.fencing_token == self.term
+        self.path.is_command_reply() || self.report.fencing_token >= self.term
     }
 }
 
