Copies of carried-out messages in the simulated cluster; property test

Three faults do now: copies of answered direct commands 0.3 to 120 s later, of transactions, lease and cloud requests 0.3 to 20 s later, and of messages between controllers 0.1 to 20 s later, also to a controller that has restarted. A new check reports an attempt that begins twice in an agent epoch.

--- a/src/controller/shard/tests/loading.rs
+++ b/src/controller/shard/tests/loading.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::wire::Entry;
+use crate::workers::ReportPath;
 use serde_json::Value;
 
 fn entry(key: &str, value: Value) -> Entry {
@@ -40,6 +41,23 @@
     assert_eq!(machine.used.cpus, 4.0);
 }
 
+/// Guards against closing an attempt that the former leader's direct start may still begin.
+#[test]
+fn the_start_of_a_loaded_attempt_may_still_arrive_until_the_worker_has_seen_the_present_term() {
+    let mut shard = shard_with_a_loaded_machine();
+    let chunk = json!({"next": 9, "done": "0-1", "open": [[2, 7, "host-1", 1]]});
+    shard.load_chunk(10, "j-1", 0, &entry("kept/pool/firing/j-1/0", chunk));
+    let (ix, _) = shard.workers.attempts.iter().next().expect("an open attempt");
+    let attempt = shard.workers.attempts.get_mut(ix).expect("an open attempt");
+    attempt.stop_grace_s = Some(0.0);
+    for (seq, fencing_token, is_over) in [(1, 4, false), (2, 5, true)] {
+        let empty_report = worker_fixture::report(1, seq, fencing_token, Vec::new());
+        shard.merge_report(20, &empty_report, ReportPath::Heartbeat);
+        let attempt = shard.workers.attempts.get(ix).expect("an open attempt");
+        assert_eq!(attempt.record.is_withdrawn(), is_over);
+    }
+}
+
 #[test]
 fn unreadable_values_and_chunks_of_unknown_jobs_change_nothing() {
     let mut shard = shard_with_a_loaded_machine();
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -14,6 +14,7 @@
 mod late_answers;
 mod memory_store;
 mod repeated_commands;
+mod repeated_starts;
 mod user_fixture;
 mod watch_cache_reads;
 mod worker_stand_in;
--- a/tests/rules/meetings/unreachable_machines.rs
+++ b/tests/rules/meetings/unreachable_machines.rs
@@ -1,6 +1,6 @@
 //! Machines hang, fail tasks, are reclaimed or are unreachable, during other faults.
 
-use super::{Faults, run_concurrent_faults, run_concurrent_faults_of_seed, seeds};
+use super::{Faults, draw_copies, run_concurrent_faults, run_concurrent_faults_of_seed, seeds};
 use crate::world::{Fault, LEASE_MS, World};
 use crate::{LEADER, run_to_completion};
 use rand::rngs::StdRng;
@@ -99,6 +99,7 @@
             faults.push((at, Fault::AllMachinesFailTasks { ms }));
             faults.push((at + rng.random_range(0..4_000), Fault::CancelRunningJobs { hang_ms: 0 }));
         }
+        faults.extend(draw_copies(seed, &[56]));
         let mut world = World::new(seed, 3, 0, faults.clone());
         for index in 0..200 {
             let mut spec = World::plain_spec();
@@ -153,6 +154,7 @@
             })
             .collect();
         faults.push((rng.random_range(30_000..80_000), Fault::Crash { node: LEADER }));
+        faults.extend(draw_copies(seed, &[199]));
         let mut world = World::new(seed, 3, 8, faults.clone());
         world.run_time_factor = 3;
         for index in 0..10 {
--- a/tests/rules/world/cloud.rs
+++ b/tests/rules/world/cloud.rs
@@ -60,6 +60,7 @@
             node,
             report_in_flight: None,
             next_report_at: self.now + boot_ms,
+            begun_attempts: BTreeSet::new(),
             tasks: BTreeMap::new(),
         }
     }
--- a/tests/rules/world/fault.rs
+++ b/tests/rules/world/fault.rs
@@ -72,6 +72,14 @@
     /// Half of the direct commands to reachable machines get no answer, and half of these arrive 1
     /// to 9 s late.
     DelayedCommands { ms: u64 },
+    /// Half of the direct commands that a worker has answered reach it once more, 0.3 to 120 s later.
+    RepeatedCommands { ms: u64 },
+    /// A third of the transactions, lease requests and cloud requests that were answered reach their
+    /// service once more, 0.3 to 20 s later.
+    RepeatedRequests { ms: u64 },
+    /// A tenth of the messages between controllers reach the receiver once more, 0.1 to 20 s later, also
+    /// if it has restarted meanwhile.
+    RepeatedMessages { ms: u64 },
     /// Half of the answers to reports arrive up to 3.9 s late, when their workers still wait for
     /// them.
     DelayedAnswers { ms: u64 },
@@ -133,6 +141,7 @@
             | Fault::InvalidRequests { ms }
             | Fault::WritesRejected { ms, .. }
             | Fault::StoreSlow { ms }
+            | Fault::RepeatedCommands { ms }
             | Fault::StoreRepliesSlow { ms, .. }
             | Fault::CloseLooks { ms } => *ms,
             // Boots take at most 40 s. By then, the controllers have given up machines that never
@@ -141,6 +150,7 @@
             // Delayed transactions are applied up to 12 s late, delayed commands arrive up to 9 s
             // late.
             Fault::DelayedTransactions { ms } | Fault::DelayedCommands { ms } => ms + 12_000,
+            Fault::RepeatedRequests { ms } | Fault::RepeatedMessages { ms } => ms + 20_000,
             Fault::DelayedAnswers { ms } => ms + 4_000,
             Fault::CancelRunningJobs { hang_ms } => *hang_ms,
             _ => 5_000,
--- a/tests/rules/world/machines.rs
+++ b/tests/rules/world/machines.rs
@@ -86,6 +86,10 @@
         for effect in effects {
             match effect {
                 Effect::Started { task } => self.record_task_start(machine, &task),
+                Effect::AttemptRepeated { task, attempt } => {
+                    let violation = format!("repeated: attempt {attempt} of {task} on {machine} at {}", self.now);
+                    self.violations.push(violation);
+                }
                 Effect::Ended { task, done } => {
                     if let Some(machines) = self.task_machines.get_mut(&task) {
                         machines.remove(machine);
--- a/tests/rules/world/mod.rs
+++ b/tests/rules/world/mod.rs
@@ -17,6 +17,7 @@
 mod machines;
 mod network;
 mod ongoing_faults;
+mod repetitions;
 mod scheduled_event;
 mod setup;
 mod state_service;
--- a/tests/rules/world/network.rs
+++ b/tests/rules/world/network.rs
@@ -116,6 +116,7 @@
             node: self.nodes[node].name.clone(),
             message: Box::new(encode_and_decode(message)),
         };
+        self.maybe_repeat_message(to, &input);
         self.schedule(
             self.now + delay,
             ScheduledEvent::Input {
--- a/tests/rules/world/ongoing_faults.rs
+++ b/tests/rules/world/ongoing_faults.rs
@@ -17,6 +17,11 @@
     pub(super) delayed_transactions_until: u64,
     /// Until when half of the direct commands get no answer and some of these arrive late.
     pub(super) delayed_commands_until: u64,
+    /// Until when copies of direct commands, of requests to the services and of messages between
+    /// controllers are made, which arrive after the answer.
+    pub(super) repeated_commands_until: u64,
+    pub(super) repeated_requests_until: u64,
+    pub(super) repeated_messages_until: u64,
     /// Until when half of the answers to reports arrive late.
     pub(super) delayed_answers_until: u64,
     /// Until when half of the jobs are cancelled just after their last task ends.
--- a/tests/rules/world/scheduled_event.rs
+++ b/tests/rules/world/scheduled_event.rs
@@ -43,6 +43,8 @@
         commands: DirectCommands,
         reply: bool,
     },
+    /// A message reaches a controller once more, whichever run of it is under way.
+    RepeatedMessage { node: usize, input: Input },
     /// A heartbeat report reaches a controller.
     ReportArrives {
         node: usize,
