Log who leads, what was read and what the leader did, at info

Now every controller logs each claim that it sees (leader, term, version) and its end, each full read with its revision, and every 10 s how it answered its users; the leader adds a line with the commands it gave by kind and route, the outcomes of direct calls, reports, closed attempts by outcome, tokens raised, and the exited tasks that machines still list (sum, largest, where). Nothing is logged for single tasks.

--- a/src/controller/claim.rs
+++ b/src/controller/claim.rs
@@ -19,8 +19,18 @@
     /// this controller's claim.
     pub(super) fn on_claim_changed(&mut self) {
         let Some((leader, version)) = self.watch_cache.leader() else {
+            tracing::info!(
+                revision = self.watch_cache.revision(),
+                "the claim on the shard has ended"
+            );
             return;
         };
+        tracing::info!(
+            leader = leader.node,
+            term = leader.term,
+            version,
+            "a leader has claimed the shard"
+        );
         if self.election.holds_claim() && leader.term > self.election.term() {
             tracing::warn!(leader = leader.node, version, "lost the shard to another controller");
             self.step_down(0);
--- a/src/controller/direct_commands.rs
+++ b/src/controller/direct_commands.rs
@@ -73,6 +73,7 @@
             machine: due.name,
             sent_at: self.now,
         };
+        self.activity.commands_sent(&due.commands.commands);
         let call = self.next_call_id();
         self.command_delivery.sent(call, direct_call);
         AddressedCommands {
@@ -113,6 +114,7 @@
         let Some(shard) = &mut self.shard else {
             return;
         };
+        self.activity.call_ended(&reply);
         shard.delivery_ended(self.now, &direct_call, &reply);
         if let WorkerReply::Executed(report) | WorkerReply::Refused(report) = reply {
             let commands_sent_at = direct_call.sent_at;
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -93,6 +93,7 @@
         }
         let shard = self.shard.as_mut()?;
         let merged = shard.merge_report(now, report, path);
+        self.activity.report_merged(&merged);
         match merged {
             MergeOutcome::Newest(ix) => {
                 self.leader_timers.note_worker_contact(now);
@@ -148,6 +149,7 @@
             }
             MergeOutcome::HigherFencingToken | MergeOutcome::MachineDeleted => return None,
         };
+        self.activity.commands_answered(&commands);
         Some(ReportAnswer {
             fencing_token: shard.fencing_token_of(&report.machine),
             commands,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -3,6 +3,7 @@
 //! [`Controller::step`] takes one [`Input`] and returns the resulting [`Output`]s. It performs no
 //! I/O and has no clock or randomness of its own.
 
+mod activity;
 mod answer_confirmations;
 mod claim;
 mod cloud;
@@ -51,6 +52,7 @@
 use crate::store::{Keys, StoreRequest, WatchCache};
 use crate::wire::Catalogue;
 use crate::{Millis, Now};
+use activity::Activity;
 use command_delivery::CommandDelivery;
 use delegated_commands::DelegatedCommands;
 use forwarded_requests::ForwardedRequests;
@@ -102,6 +104,7 @@
     watch_cache: WatchCache,
     watch_state: WatchState,
     store_client: StoreClient,
+    activity: Activity,
 
     // State that only the leader uses.
     /// The state of the shard, present from the commit of the claim until this controller steps
@@ -143,6 +146,7 @@
             watch_cache: WatchCache::default(),
             watch_state: WatchState::default(),
             store_client: StoreClient::new(&settings),
+            activity: Activity::default(),
             shard: None,
             leader_timers: LeaderTimers::default(),
             load_progress: LoadProgress::default(),
@@ -196,6 +200,7 @@
         self.expire_relayed_reports();
         self.flush_relays();
         self.redirects.prune(self.now);
+        self.log_activity();
         self.forwarded_requests.prune(self.peer_request_ids.last());
     }
 
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -73,6 +73,9 @@
     }
 
     fn answer_requester(&mut self, requester: Requester, answer: Answer) {
+        if matches!(requester, Requester::User(_)) {
+            self.activity.user_answered(answer.status);
+        }
         self.outputs.push(match requester {
             Requester::User(request) => Output::Answer { request, answer },
             Requester::Peer { node, id } => Output::Peer {
--- a/src/controller/shard/attempts.rs
+++ b/src/controller/shard/attempts.rs
@@ -21,6 +21,7 @@
             return;
         };
         self.workers.capacity_changed = true;
+        self.closed_attempts.add(outcome);
         let Some(resources) = self.release_from_job_and_team(&attempt) else {
             return;
         };
--- a/src/controller/shard/mod.rs
+++ b/src/controller/shard/mod.rs
@@ -19,7 +19,7 @@
 use crate::settings::Settings;
 use crate::topology::Topology;
 use crate::wire::Catalogue;
-use crate::workers::Workers;
+use crate::workers::{OutcomeCounts, Workers};
 
 /// The leader's state of its shard. A new leader creates it and loads it from the state service. A
 /// raise of the term keeps it, unless the raise is to reload the shard.
@@ -44,6 +44,8 @@
     pub fleet: Fleet,
     /// The changes to write to the state service, and the transaction in flight.
     pub pending_writes: PendingWrites,
+    /// Attempts closed since this was last logged, by outcome.
+    pub closed_attempts: OutcomeCounts,
     /// Chooses the tasks that are stopped to make room for jobs of higher priority.
     pub preemptor: Preemptor,
 }
@@ -63,6 +65,7 @@
             workers: Workers::new(settings),
             fleet: Fleet::new(params.state.value_kb),
             pending_writes: PendingWrites::default(),
+            closed_attempts: OutcomeCounts::default(),
             preemptor: Preemptor::default(),
         }
     }
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -133,6 +133,8 @@
             term = self.election.term(),
             jobs = shard.jobs.table.len(),
             machines = shard.workers.machines.len(),
+            attempts = shard.workers.attempts.iter().count(),
+            revision = self.watch_cache.revision(),
             took_ms = self.load_progress.elapsed_ms(self.now),
             "took over the shard"
         );
--- a/src/controller/watching.rs
+++ b/src/controller/watching.rs
@@ -154,6 +154,11 @@
             PageOutcome::Complete(changes) => {
                 // An earlier watch may be open for seconds, and its reply will be ignored.
                 self.watch_state.watch_answered(self.now);
+                tracing::info!(
+                    revision = self.watch_cache.revision(),
+                    jobs = self.watch_cache.jobs().len(),
+                    "read all watched keys"
+                );
                 self.on_watched_changes(changes);
             }
         }
--- a/src/election/claim.rs
+++ b/src/election/claim.rs
@@ -78,7 +78,8 @@
 
     /// Handles the commit of the claim, which gave its key this version.
     pub fn on_claim_committed(&mut self, version: u64) {
-        tracing::info!(term = self.term, "claimed the shard");
+        let last_token = last_token(self.term);
+        tracing::info!(term = self.term, last_token, version, "claimed the shard");
         self.claim_version = version;
         self.phase = Phase::Loading;
         self.renew_not_before = 0;
--- a/src/workers/attempt.rs
+++ b/src/workers/attempt.rs
@@ -31,6 +31,34 @@
     }
 }
 
+/// Numbers of closed attempts by outcome.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OutcomeCounts {
+    /// Completed.
+    pub done: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Refused by the worker.
+    pub refused: u64,
+    /// Stopped on command.
+    pub stopped: u64,
+    /// Ended with the machine or agent epoch, or never started.
+    pub lost: u64,
+}
+
+impl OutcomeCounts {
+    /// Counts one closed attempt.
+    pub fn add(&mut self, outcome: Outcome) {
+        *match outcome {
+            Outcome::Done => &mut self.done,
+            Outcome::Error => &mut self.failed,
+            Outcome::Refused => &mut self.refused,
+            Outcome::Stopped => &mut self.stopped,
+            Outcome::Lost => &mut self.lost,
+        } += 1;
+    }
+}
+
 /// An attempt that has provably ended and has to be closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndedAttempt {
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -96,7 +96,12 @@
                 .is_some_and(|attempt| attempt.is_unwanted_and_unseen() && attempt.may_be_started_after(fencing_token))
         });
         let is_needed = unwanted_may_start || machine.forgettable_may_start_after(fencing_token, jobs);
-        if is_needed && machine.may_raise_token() && !machine.tokens.raise(term) {
+        if !is_needed || !machine.may_raise_token() {
+            return;
+        }
+        if machine.tokens.raise(term) {
+            self.tokens_raised += 1;
+        } else {
             self.needs_higher_term = true;
         }
     }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -35,7 +35,7 @@
 mod tokens;
 
 pub use answered_starts::AnsweredStarts;
-pub use attempt::{Attempt, CommittedRecord, EndedAttempt, Outcome, RecordState};
+pub use attempt::{Attempt, CommittedRecord, EndedAttempt, Outcome, OutcomeCounts, RecordState};
 pub use attempts::Attempts;
 pub use attribution::FailureRecord;
 #[cfg(test)]
--- a/src/workers/registry.rs
+++ b/src/workers/registry.rs
@@ -33,6 +33,8 @@
     pub receiving_reports_since: Millis,
     /// Whether anything that placement depends on has changed since the last placement round.
     pub capacity_changed: bool,
+    /// Number of times that the fencing token of a machine was raised since this was last logged.
+    pub tokens_raised: u64,
     /// Whether the leader has to raise its term, because a machine has used up the fencing tokens
     /// of the present one or what is stored contradicts the leader's state.
     pub needs_higher_term: bool,
@@ -50,6 +52,7 @@
             lease_expiry_ms: settings.lease_expiry_ms(),
             receiving_reports_since: 0,
             capacity_changed: true,
+            tokens_raised: 0,
             needs_higher_term: false,
         }
     }
