Remove the term from placement, which no longer asks for it

No behaviour changes: the round used it for starts in doubt only, which the fencing token of a machine settles since.

--- a/src/controller/shard/scheduling.rs
+++ b/src/controller/shard/scheduling.rs
@@ -39,7 +39,6 @@
                 monotonic: now,
                 wall_clock: self.wall_clock,
             },
-            term: self.term,
             jobs: &mut self.jobs,
             workers: &mut self.workers,
             topology: &self.topology,
--- a/src/controller/tests/cluster_fixture.rs
+++ b/src/controller/tests/cluster_fixture.rs
@@ -5,7 +5,7 @@
 use super::memory_store::MemoryStore;
 use super::worker_stand_in::WorkerStandIn;
 use super::*;
-use crate::wire::{DirectCommands, Report};
+use crate::wire::DirectCommands;
 
 /// The time between two steps of the cluster, and that until a reply or message arrives.
 const STEP_MS: Millis = 10;
@@ -173,18 +173,14 @@
         let (now, nodes) = (self.now, self.nodes.len());
         for index in 0..self.workers.len() {
             if let Some((node, report)) = self.workers[index].due_report(now, nodes) {
-                self.send_report(node, index, report);
+                let request = LAST_USER_REQUEST + 1 + index as u64;
+                let report = Box::new(report);
+                let input = Input::Report { request, report };
+                self.nodes[node].arriving.push((now + STEP_MS, input));
             }
         }
     }
 
-    fn send_report(&mut self, node: usize, worker: usize, report: Report) {
-        let request = LAST_USER_REQUEST + 1 + worker as u64;
-        let report = Box::new(report);
-        let input = Input::Report { request, report };
-        self.nodes[node].arriving.push((self.now + STEP_MS, input));
-    }
-
     /// Delivers what has arrived at a controller, and a tick. The replies of the state service come
     /// first.
     fn run_node(&mut self, node: usize) {
--- a/src/pipeline/job.rs
+++ b/src/pipeline/job.rs
@@ -182,7 +182,7 @@
 
     /// Whether the job has been short of room for so long that it must no longer avoid any
     /// machine with room.
-    pub fn has_long_shortage(&self, now: Millis) -> bool {
+    fn has_long_shortage(&self, now: Millis) -> bool {
         self.shortage_since.is_some_and(|since| now > since + LONG_SHORTAGE_MS)
     }
 
--- a/src/placement/context.rs
+++ b/src/placement/context.rs
@@ -27,8 +27,6 @@
 pub struct PlacementContext<'a> {
     /// The time at which the round runs.
     pub now: Now,
-    /// The leader's term in which the round runs.
-    pub term: u64,
     /// The jobs and the quotas of their teams.
     pub jobs: &'a mut Jobs,
     /// The machines and the open attempts.
