Let a copy of a transaction not bring back an answered machine request

It stays until a leader changes; the next one asks the cloud again under the old name, is told of machines that are long gone, takes them into the inventory and counts them as coming until they are overdue, or rents anew what the cloud refused the first time.

Cause: the transaction required that the record does not exist, which holds again once it is removed, and that the claim holds, which it does for the whole term. Both were true before the request and are true after it, so they prove nothing about a copy.

Fix: each transaction with new requests also changes one key that is never removed, kept/pool/hire/newest, and requires its version. A copy conflicts. It is one put more for each such transaction, and is read with the records when a leader loads.

Evidence: a_copy_of_a_transaction_does_not_bring_back_an_answered_machine_request failed before ("Committed { revision: 3 }") and passes now; nothing is drawn. Changed expectations, as strict: the keys of such a transaction, and the prefix of the records in the takeover test, whose names all begin with "pool-". Golden lines were added for the key and its value.

--- a/src/controller/shard/tests/transactions.rs
+++ b/src/controller/shard/tests/transactions.rs
@@ -200,7 +200,10 @@
     shard.pending_writes.queue_machine_request(record.clone());
     assert!(shard.has_urgent_writes());
     let transaction = next_transaction(&mut shard, MAX_CHANGES).expect("a transaction");
-    assert_eq!(put_keys(&transaction), [keys().machine_request("pool-5-0")]);
+    assert_eq!(
+        put_keys(&transaction),
+        [keys().machine_request("pool-5-0"), keys().newest_machine_request()]
+    );
     assert!(shard.fleet.machine_requests().is_empty());
     shard.committed(10_000, 7);
     let pending = shard.fleet.machine_requests();
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -60,6 +60,9 @@
             LoadStage::Machines => {
                 shard.load_group(self.now, strip_key_prefix(entry, &self.keys.machine_groups()), entry)
             }
+            LoadStage::MachineRequests if entry.key == self.keys.newest_machine_request() => {
+                shard.pending_writes.newest_request_loaded(entry.version);
+            }
             LoadStage::MachineRequests => shard.load_machine_request(entry),
             LoadStage::TaskChunks => self.load_task_chunk(entry),
         }
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -15,6 +15,7 @@
 mod memory_store;
 mod repeated_commands;
 mod repeated_starts;
+mod repeated_transactions;
 mod user_fixture;
 mod watch_cache_reads;
 mod worker_stand_in;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -52,6 +52,13 @@
     pub count: u32,
 }
 
+/// Stored value of the key that every transaction with new machine requests changes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewestMachineRequest {
+    /// Name of the first new request of the transaction.
+    pub request: String,
+}
+
 /// The leader's state of the fleet as a whole. Single machines are kept in
 /// [`Workers`](crate::workers::Workers).
 #[derive(Debug, Default)]
--- a/src/persistence/machine_requests.rs
+++ b/src/persistence/machine_requests.rs
@@ -4,7 +4,7 @@
 use super::next_transaction::Draft;
 use super::transaction_builder::ChangeSet;
 use super::{PendingWrites, QueuedWrite, WriteContext};
-use crate::fleet::MachineRequestRecord;
+use crate::fleet::{MachineRequestRecord, NewestMachineRequest};
 use crate::store::Keys;
 use serde_json::json;
 
@@ -39,8 +39,12 @@
     pub(super) fn add_machine_requests(&mut self, draft: &mut Draft<'_>) {
         for record in std::mem::take(&mut self.machine_requests) {
             let write = QueuedWrite::MachineRequest(record.request.clone());
-            if draft.admits(&write) && draft.builder.has_space(1) && draft.builder.try_add(put_of(&record, draft.keys))
-            {
+            let is_first = draft.content.machine_requests.is_empty();
+            let mut set = put_of(&record, draft.keys);
+            if is_first {
+                self.require_newest_request(&record, draft.keys, &mut set);
+            }
+            if draft.admits(&write) && draft.builder.try_add(set) {
                 draft.content.machine_requests.push(record);
             } else {
                 self.machine_requests.push_back(record);
@@ -48,6 +52,15 @@
         }
     }
 
+    /// Makes a copy of the transaction conflict: its condition that the records do not exist holds
+    /// again once they are removed.
+    fn require_newest_request(&self, record: &MachineRequestRecord, keys: &Keys, set: &mut ChangeSet) {
+        let key = keys.newest_machine_request();
+        let request = record.request.clone();
+        set.require(key.clone(), self.newest_request_version);
+        set.put(key, json!(NewestMachineRequest { request }));
+    }
+
     /// Adds the removal of the keys of answered machine requests while the transaction has space.
     /// A key is removed no earlier than by the transaction that writes the machines that the
     /// cloud created for the request.
--- a/src/persistence/outcome.rs
+++ b/src/persistence/outcome.rs
@@ -35,6 +35,9 @@
         self.finished_jobs_committed(&content.finished_jobs, &mut context, revision);
         self.clean_ups_committed(&content.clean_ups, &mut context, &mut effects);
         groups_committed(content.groups, &mut context, revision);
+        if !content.machine_requests.is_empty() {
+            self.newest_request_version = revision;
+        }
         effects.machine_requests = WrittenRequest::from_records(content.machine_requests, revision);
         effects
     }
--- a/src/persistence/pending_writes.rs
+++ b/src/persistence/pending_writes.rs
@@ -21,6 +21,8 @@
     pub(super) clean_ups: BTreeSet<JobIx>,
     /// New machine requests, which are sent to the cloud once they are written.
     pub(super) machine_requests: VecDeque<MachineRequestRecord>,
+    /// Version of the key of the newest machine request; 0 if it does not exist.
+    pub(super) newest_request_version: u64,
     /// Answered machine requests, whose keys can be removed.
     pub(super) answered_requests: VecDeque<AnsweredRequest>,
     /// Transaction in flight, if there is one.
@@ -63,6 +65,11 @@
         self.machine_requests.push_back(request);
     }
 
+    /// Sets the version of the key of the newest machine request, as it was loaded.
+    pub fn newest_request_loaded(&mut self, version: u64) {
+        self.newest_request_version = version;
+    }
+
     /// Queues the removal of the key of a machine request that the cloud has answered.
     pub fn queue_answered_request(&mut self, request: AnsweredRequest) {
         self.answered_requests.push_back(request);
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -117,6 +117,14 @@
     pub fn machine_request(&self, request: &str) -> String {
         format!("kept/{}/hire/{request}", self.shard)
     }
+
+    /// The key of the newest machine request, a
+    /// [`NewestMachineRequest`](crate::fleet::NewestMachineRequest). Written by the leader together
+    /// with the keys of new requests and conditional on its version, so that a copy of that
+    /// transaction conflicts, also after these keys were removed. It is never removed.
+    pub fn newest_machine_request(&self) -> String {
+        format!("kept/{}/hire/newest", self.shard)
+    }
 }
 
 /// Returns the part of an entry's key after the prefix, or the whole key if it does not have
--- a/tests/golden/stored.rs
+++ b/tests/golden/stored.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use sumacbend::fleet::{GroupValue, MachineRequestRecord};
+use sumacbend::fleet::{GroupValue, MachineRequestRecord, NewestMachineRequest};
 use sumacbend::pipeline::ChunkValue;
 use sumacbend::store::{EndValue, JobKey, Keys, LeaderValue, MemberValue};
 use sumacbend::wire::Catalogue;
@@ -36,7 +36,8 @@
     check_round_trip_below::<EndValue>(STORE, "kept/pool/end/");
     check_round_trip_below::<ChunkValue>(STORE, "kept/pool/firing/");
     check_round_trip_below::<GroupValue>(STORE, "kept/pool/roster/");
-    check_round_trip_below::<MachineRequestRecord>(STORE, "kept/pool/hire/");
+    check_round_trip_below::<MachineRequestRecord>(STORE, "kept/pool/hire/pool-");
+    check_round_trip_below::<NewestMachineRequest>(STORE, "kept/pool/hire/newest");
 }
 
 /// All fields of stored values are required, except for how a job ended (`ended`) and the number
@@ -73,6 +74,7 @@
             "end" => check_required_fields::<EndValue>(text, &["done"]),
             "firing" => check_required_fields::<ChunkValue>(text, &[]),
             "roster" => check_required_fields::<GroupValue>(text, &[]),
+            "hire" if parts[3] == "newest" => check_required_fields::<NewestMachineRequest>(text, &[]),
             "hire" => check_required_fields::<MachineRequestRecord>(text, &[]),
             // The takeover test in `tests/rules` checks that controllers read these.
             "term" | "catalogue" => {}
@@ -101,6 +103,7 @@
         keys.machine_group("41-0"),
         keys.machine_requests(),
         keys.machine_request("pool-41-7"),
+        keys.newest_machine_request(),
     ];
     assert_eq!(names.to_vec(), golden_lines("stored/keys.txt"));
 }
--- a/tests/rules/takeover_from_stored_state.rs
+++ b/tests/rules/takeover_from_stored_state.rs
@@ -148,7 +148,7 @@
 /// Checks that ended jobs are cleaned up except for the records of their ends, and that the claim
 /// has the term that follows the stored one.
 fn check_stored_state(world: &mut World, seed: u64) {
-    for prefix in ["live/pool/job/", "kept/pool/firing/", "kept/pool/hire/"] {
+    for prefix in ["live/pool/job/", "kept/pool/firing/", "kept/pool/hire/pool-"] {
         assert_eq!(world.count_stored_keys(prefix), 0, "seed {seed}: {prefix}");
     }
     let after = read_golden("store_after.txt");
