Move the types that admission's and persistence's files share below both

Both held a circle of imports: writes, pending and cancellations, and five files round Content and Draft. JobWrite and the value of a cancelled end are in admission/job_write.rs now, the changes of a transaction by kind in persistence/content.rs, the draft in persistence/draft.rs. Only moves; no file imports one that imports it.

--- a/src/admission/cancellations.rs
+++ b/src/admission/cancellations.rs
@@ -1,17 +1,11 @@
 //! Cancellations of unfinished jobs.
 
 use super::AdmissionContext;
-use super::writes::JobWrite;
-use crate::store::{EndValue, JobKey};
+use super::job_write::{CANCELLED, JobWrite};
+use crate::store::JobKey;
 use crate::wire::{Change, JobState};
 use serde_json::json;
 
-/// The value of a cancelled job's end key.
-pub(super) const CANCELLED: EndValue = EndValue {
-    state: JobState::Cancelled,
-    done: 0,
-};
-
 /// Returns the write that cancels a job whose key currently has this value and version. It
 /// stores the job's end permanently and marks the job key as ended until the job is cleaned up.
 pub(super) fn cancellation_write(context: &AdmissionContext<'_>, job: &JobKey, job_version: u64) -> JobWrite {
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -25,6 +25,7 @@
 mod evidence;
 mod job_deadlines;
 mod job_request;
+mod job_write;
 mod pending;
 mod refusal;
 mod relays;
--- a/src/admission/pending.rs
+++ b/src/admission/pending.rs
@@ -1,6 +1,6 @@
 //! Pending requests and what they are waiting for.
 
-use super::writes::JobWrite;
+use super::job_write::JobWrite;
 use super::{AdmissionEffect, JobRequest, JobRequestKind, Requester};
 use crate::Millis;
 use crate::peers::{Answer, PeerLinks};
--- a/src/admission/submissions.rs
+++ b/src/admission/submissions.rs
@@ -1,7 +1,7 @@
 //! Decides whether a submitted job that is not known yet is accepted.
 
 use super::answers::Unavailable;
-use super::writes::JobWrite;
+use super::job_write::JobWrite;
 use super::{AdmissionContext, Feasibility, Refusal, validation};
 use crate::memory;
 use crate::store::JobKey;
--- a/src/admission/writes.rs
+++ b/src/admission/writes.rs
@@ -1,57 +1,10 @@
-//! The create-once writes that accept and cancel jobs.
-//!
-//! Each write is conditional on the job having no end yet and on the observed version of the
-//! job's key, so it is applied at most once, however often it is sent.
+//! The replies to the create-once writes that accept and cancel jobs.
 
 use super::answers::{self, Unavailable};
-use super::cancellations::CANCELLED;
+use super::job_write::JobWrite;
 use super::pending::Awaited;
 use super::{Admission, AdmissionContext, AdmissionEffect, JobRequestKind, Refusal};
-use crate::store::{EndValue, JobKey, StoreReply};
-use crate::wire::{Change, Condition, Transaction};
-use serde_json::json;
-use std::sync::Arc;
-
-/// A conditional transaction that writes a job key.
-#[derive(Clone, Debug, PartialEq)]
-pub(super) struct JobWrite {
-    pub(super) transaction: Arc<Transaction>,
-    /// The value written to the job key.
-    job: JobKey,
-}
-
-impl JobWrite {
-    /// Returns the write that applies `changes` and then creates or replaces the job key, whose
-    /// current version is `job_version`.
-    pub(super) fn new(
-        context: &AdmissionContext<'_>,
-        job: JobKey,
-        job_version: u64,
-        mut changes: Vec<Change>,
-    ) -> JobWrite {
-        let job_key = context.keys.job(&job.spec.id);
-        let mut conditions = vec![
-            Condition {
-                key: job_key.clone(),
-                version: job_version,
-            },
-            Condition {
-                key: context.keys.end(&job.spec.id),
-                version: 0,
-            },
-        ];
-        // A leader's writes must fail once another controller has claimed the shard.
-        conditions.extend(context.claim.clone());
-        changes.push(Change::put(job_key, json!(job)));
-        let transaction = Arc::new(Transaction { conditions, changes });
-        JobWrite { transaction, job }
-    }
-
-    /// Returns how the job ends by this write, or `None` if the write accepts the job.
-    fn end(&self) -> Option<EndValue> {
-        self.job.ended.map(|_| CANCELLED)
-    }
-}
+use crate::store::StoreReply;
 
 impl Admission {
     /// Handles the reply to a create-once write.
--- a/src/persistence/clean_ups.rs
+++ b/src/persistence/clean_ups.rs
@@ -1,22 +1,13 @@
 //! Removal of the keys of ended jobs: first the keys of their chunks, then the job's own key.
 
-use super::next_transaction::Draft;
+use super::content::CleanUp;
+use super::draft::Draft;
 use super::transaction_builder::{ChangeSet, TransactionBuilder};
 use super::{CommitEffects, PendingWrites, QueuedWrite, WriteContext};
 use crate::ids::JobIx;
 use crate::pipeline::{Chunk, Job};
 use crate::store::Keys;
 
-/// The keys of one job that one transaction removes.
-#[derive(Debug)]
-pub(super) struct CleanUp {
-    pub job: JobIx,
-    /// Numbers of the chunks whose keys are removed.
-    chunks: Vec<u32>,
-    /// Whether the job's own key is removed as well, so that no key of the job remains.
-    removes_job: bool,
-}
-
 impl PendingWrites {
     /// Adds the removal of the keys of ended jobs that have no open attempts.
     pub(super) fn add_clean_ups(&mut self, context: &WriteContext<'_>, draft: &mut Draft<'_>) {
--- a/src/persistence/finished_jobs.rs
+++ b/src/persistence/finished_jobs.rs
@@ -1,6 +1,6 @@
 //! Writing the ends of jobs whose last task is done. Users wait for these writes.
 
-use super::next_transaction::Draft;
+use super::draft::Draft;
 use super::transaction_builder::ChangeSet;
 use super::{PendingWrites, QueuedWrite, WriteContext};
 use crate::ids::JobIx;
--- a/src/persistence/in_flight.rs
+++ b/src/persistence/in_flight.rs
@@ -1,11 +1,7 @@
-//! The transaction in flight and the changes that it contains.
+//! The transaction in flight.
 
-use super::AnsweredRequest;
-use super::clean_ups::CleanUp;
-use super::inventory_groups::WrittenGroup;
+use super::content::Content;
 use crate::Millis;
-use crate::fleet::MachineRequestRecord;
-use crate::ids::{ChunkId, JobIx};
 use crate::wire::Transaction;
 use std::sync::Arc;
 
@@ -42,14 +38,3 @@
         self.unanswered
     }
 }
-
-/// The changes in a transaction, by kind.
-#[derive(Debug, Default)]
-pub(super) struct Content {
-    pub chunks: Vec<ChunkId>,
-    pub finished_jobs: Vec<JobIx>,
-    pub clean_ups: Vec<CleanUp>,
-    pub groups: Vec<WrittenGroup>,
-    pub machine_requests: Vec<MachineRequestRecord>,
-    pub answered_requests: Vec<AnsweredRequest>,
-}
--- a/src/persistence/inventory_groups.rs
+++ b/src/persistence/inventory_groups.rs
@@ -1,6 +1,7 @@
 //! Writing the groups of the inventory, from which the next leader learns of the machines.
 
-use super::next_transaction::Draft;
+use super::content::WrittenGroup;
+use super::draft::Draft;
 use super::transaction_builder::ChangeSet;
 use super::{QueuedWrite, WriteContext};
 use crate::fleet::{DueGroups, Group, GroupValue, InventoryMember};
@@ -10,15 +11,6 @@
 use serde_json::json;
 use std::collections::BTreeSet;
 
-/// An inventory group that the transaction in flight writes or removes.
-#[derive(Debug)]
-pub(super) struct WrittenGroup {
-    pub group: GroupIx,
-    /// Names of the machines in the group's value; empty if its key is removed. Names are used
-    /// because an index may belong to another machine when the transaction is answered.
-    machines: Vec<String>,
-}
-
 /// Adds the groups with machines that cannot be used until they are written.
 pub(super) fn add_urgent_groups(context: &mut WriteContext<'_>, draft: &mut Draft<'_>) {
     let due = context.inventory.due(DueGroups::Urgent);
--- a/src/persistence/machine_requests.rs
+++ b/src/persistence/machine_requests.rs
@@ -1,7 +1,8 @@
 //! Records of machine requests, which are written before a request is sent to the cloud and
 //! removed once the cloud has answered and the new machines are written.
 
-use super::next_transaction::Draft;
+use super::content::AnsweredRequest;
+use super::draft::Draft;
 use super::transaction_builder::ChangeSet;
 use super::{PendingWrites, QueuedWrite, WriteContext};
 use crate::fleet::{MachineRequestRecord, NewestMachineRequest};
@@ -25,15 +26,6 @@
     }
 }
 
-/// A machine request that the cloud has answered.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AnsweredRequest {
-    /// Name of the request.
-    pub request: String,
-    /// Version of the request's key.
-    pub version: u64,
-}
-
 impl PendingWrites {
     /// Adds the records of new machine requests while the transaction has space.
     pub(super) fn add_machine_requests(&mut self, draft: &mut Draft<'_>) {
--- a/src/persistence/mod.rs
+++ b/src/persistence/mod.rs
@@ -10,7 +10,9 @@
 //! [`CommitEffects`]. Changes that the state service rejects are kept apart (`rejected_writes`).
 
 mod clean_ups;
+mod content;
 mod context;
+mod draft;
 mod finished_jobs;
 mod in_flight;
 mod inventory_groups;
@@ -23,9 +25,10 @@
 mod task_chunks;
 mod transaction_builder;
 
+pub use content::AnsweredRequest;
 pub use context::WriteContext;
 pub use in_flight::InFlight;
-pub use machine_requests::{AnsweredRequest, WrittenRequest};
+pub use machine_requests::WrittenRequest;
 pub use next_transaction::ChangeLimits;
 pub use outcome::CommitEffects;
 pub use pending_writes::PendingWrites;
--- a/src/persistence/next_transaction.rs
+++ b/src/persistence/next_transaction.rs
@@ -1,9 +1,10 @@
 //! Building of the next transaction: first the urgent changes, which tasks or users wait for,
 //! then deferrable changes as far as the write rate permits.
 
-use super::in_flight::Content;
+use super::content::Content;
+use super::draft::Draft;
 use super::inventory_groups::{add_all_groups, add_urgent_groups};
-use super::rejected_writes::{QueuedWrite, Selection};
+use super::rejected_writes::Selection;
 use super::transaction_builder::TransactionBuilder;
 use super::{InFlight, PendingWrites, WriteContext};
 use crate::Millis;
@@ -35,22 +36,6 @@
     }
 }
 
-/// A transaction under construction and the changes added to it so far.
-#[derive(Debug)]
-pub(super) struct Draft<'a> {
-    pub keys: &'a Keys,
-    pub builder: TransactionBuilder,
-    pub content: Content,
-    selection: Selection,
-}
-
-impl Draft<'_> {
-    /// Whether the transaction may contain this change.
-    pub fn admits(&self, write: &QueuedWrite) -> bool {
-        self.selection.admits(write)
-    }
-}
-
 impl PendingWrites {
     /// Builds the next transaction and marks it as in flight. Returns `None` if a transaction
     /// is already in flight or there is nothing to write.
--- a/src/persistence/rejected_writes.rs
+++ b/src/persistence/rejected_writes.rs
@@ -5,7 +5,7 @@
 //! its own, in turn with transactions of all other changes. A change that is rejected alone is
 //! tried again after a while, since the limits of the service may change.
 
-use super::in_flight::Content;
+use super::content::Content;
 use crate::Millis;
 use crate::ids::{ChunkId, GroupIx, JobIx};
 use std::collections::BTreeMap;
--- a/src/persistence/task_chunks.rs
+++ b/src/persistence/task_chunks.rs
@@ -1,7 +1,7 @@
 //! Writing of chunks of tasks. A chunk's value stores which of its tasks are done and which
 //! attempts are open. An attempt starts only after its chunk is written.
 
-use super::next_transaction::Draft;
+use super::draft::Draft;
 use super::transaction_builder::ChangeSet;
 use super::{CommitEffects, PendingWrites, QueuedWrite, WriteContext};
 use crate::Millis;
