--- a/src/controller/shard/tests/attempts.rs
+++ b/src/controller/shard/tests/attempts.rs
@@ -138,8 +138,7 @@
     assert_eq!(machine_of(&shard, avoided_machine).open.len(), 1);
 }
 
-/// Guards against a job that waits until the end of the term for the only machine that fits it. The
-/// machine lists an earlier attempt, whose direct start command may still arrive.
+/// Guards against a job that waits until the end of the term for the only machine that fits it.
 #[test]
 fn a_direct_start_that_may_still_arrive_blocks_a_job_until_the_next_answer_only() {
     let (mut shard, machine) = shard_with_worker();
--- a/src/controller/shard/tests/commands.rs
+++ b/src/controller/shard/tests/commands.rs
@@ -86,8 +86,7 @@
     answer.filter(|c| matches!(c, Command::Forget { .. })).count()
 }
 
-/// Guards against reports that grow until the end of the term: a worker can't forget exited tasks
-/// under the fencing token of a direct start command.
+/// Guards against reports that grow because nothing is forgotten under the token of a direct start.
 #[test]
 fn direct_starts_do_not_let_reports_grow_without_bound() {
     let (mut shard, machine) = shard_with_worker();
--- a/src/election/tests.rs
+++ b/src/election/tests.rs
@@ -127,8 +127,7 @@
     stored.expect("a term")
 }
 
-/// Guards against a fencing token that two leaders give out, also if a controller without ranges, which
-/// takes the number after the stored one, leads in between, and if a range was never used.
+/// Guards against a fencing token that two leaders give out, also with a leader without ranges in between.
 #[test]
 fn no_two_terms_reserve_the_same_fencing_token() {
     let keys = Keys::new("pool");
@@ -136,7 +135,7 @@
     let mut highest_token = 0;
     for claim in 0..6_u64 {
         if claim % 2 == 1 {
-            // An earlier version of the program.
+            // An earlier version of the program takes the number after the stored one.
             stored += 1;
             assert!(stored > highest_token);
             highest_token = stored;
--- a/tests/rules/meetings/repeated_messages.rs
+++ b/tests/rules/meetings/repeated_messages.rs
@@ -6,8 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-/// Copies of answered direct commands arrive while one-task jobs fail, are moved and are cancelled,
-/// leaders restart at once, and machines hang for a second.
+/// Copies of answered direct commands arrive while tasks are moved and cancelled and leaders restart.
 #[test]
 fn commands_are_repeated_while_tasks_are_moved_and_cancelled() {
     run_small_jobs(|rng, faults| {
@@ -23,8 +22,7 @@
     });
 }
 
-/// Copies of transactions, of requests to the cloud and of messages between controllers arrive in the
-/// same spells, and controllers restart in them.
+/// Copies of requests to the services and of messages between controllers arrive while leaders change.
 #[test]
 fn requests_and_messages_are_repeated_while_leaders_change() {
     run_small_jobs(|rng, faults| {
