--- a/tests/rules/meetings/mod.rs
+++ b/tests/rules/meetings/mod.rs
@@ -34,21 +34,28 @@
     run_time_factor: u64,
     faults: impl Fn(&mut StdRng) -> Faults,
 ) -> Vec<World> {
-    let seeds = seeds(regression_seeds).into_iter();
-    seeds
-        .map(|seed| {
-            let copies = draw_copies(seed, regression_seeds);
-            run_with_copies(seed, run_time_factor, &faults, copies)
-        })
-        .collect()
+    let mut worlds = Vec::new();
+    for seed in seeds(regression_seeds) {
+        for copies in copies_to_add(seed) {
+            worlds.push(run_with_copies(seed, run_time_factor, &faults, copies));
+        }
+    }
+    worlds
 }
 
-/// Draws copies of messages that arrive in addition to the faults of a meeting, in half of the seeds
-/// each. A regression seed is run as it was when it exposed its defect.
-fn draw_copies(seed: u64, regression_seeds: &[u64]) -> Faults {
-    if regression_seeds.contains(&seed) {
-        return Vec::new();
+/// Returns the copies of messages with which to run a seed: first none, then those that are drawn for
+/// it, if any. Each kind is drawn for half of the seeds.
+fn copies_to_add(seed: u64) -> Vec<Faults> {
+    let drawn = draw_copies(seed);
+    let mut runs = vec![Vec::new()];
+    if !drawn.is_empty() {
+        runs.push(drawn);
     }
+    runs
+}
+
+/// Draws copies of messages, which arrive in addition to the faults of a meeting.
+fn draw_copies(seed: u64) -> Faults {
     let mut rng = StdRng::seed_from_u64(19_000 + seed);
     let kinds: [fn(u64) -> Fault; 3] = [
         |ms| Fault::RepeatedCommands { ms },
--- a/tests/rules/meetings/state_service_outages.rs
+++ b/tests/rules/meetings/state_service_outages.rs
@@ -1,6 +1,6 @@
 //! The state service refuses requests, is slow or is unavailable, during other faults.
 
-use super::{draw_copies, pick, run_concurrent_faults, seeds};
+use super::{copies_to_add, pick, run_concurrent_faults, seeds};
 use crate::LEADER;
 use crate::world::{CANCEL_DEADLINE_MS, Fault, LEASE_MS, World};
 use rand::Rng;
@@ -141,17 +141,19 @@
 #[test]
 fn running_tasks_continue_through_a_long_outage() {
     for seed in seeds(&[]) {
-        let mut faults = vec![(45_000, Fault::StoreOutage { ms: 60_000 })];
-        faults.extend(draw_copies(seed, &[]));
-        let mut world = World::new(seed, 5, 24, faults);
-        world.run_time_factor = 12;
-        // Excludes tasks that were already being stopped for other jobs when the outage began.
-        world.run(49_000);
-        let lost_before = world.lost_tasks;
-        world.run(104_500);
-        assert!(world.violations.is_empty(), "seed {seed}: {:?}", world.violations);
-        let lost = world.lost_tasks - lost_before;
-        assert!(lost <= 2, "seed {seed}: {lost} tasks lost");
+        for copies in copies_to_add(seed) {
+            let mut faults = vec![(45_000, Fault::StoreOutage { ms: 60_000 })];
+            faults.extend(copies);
+            let mut world = World::new(seed, 5, 24, faults);
+            world.run_time_factor = 12;
+            // Excludes tasks that were already being stopped for other jobs when the outage began.
+            world.run(49_000);
+            let lost_before = world.lost_tasks;
+            world.run(104_500);
+            assert!(world.violations.is_empty(), "seed {seed}: {:?}", world.violations);
+            let lost = world.lost_tasks - lost_before;
+            assert!(lost <= 2, "seed {seed}: {lost} tasks lost");
+        }
     }
 }
 
--- a/tests/rules/meetings/unreachable_machines.rs
+++ b/tests/rules/meetings/unreachable_machines.rs
@@ -1,6 +1,6 @@
 //! Machines hang, fail tasks, are reclaimed or are unreachable, during other faults.
 
-use super::{Faults, draw_copies, run_concurrent_faults, run_concurrent_faults_of_seed, seeds};
+use super::{Faults, copies_to_add, run_concurrent_faults, run_concurrent_faults_of_seed, seeds};
 use crate::world::{Fault, LEASE_MS, World};
 use crate::{LEADER, run_to_completion};
 use rand::rngs::StdRng;
@@ -99,15 +99,17 @@
             faults.push((at, Fault::AllMachinesFailTasks { ms }));
             faults.push((at + rng.random_range(0..4_000), Fault::CancelRunningJobs { hang_ms: 0 }));
         }
-        faults.extend(draw_copies(seed, &[56]));
-        let mut world = World::new(seed, 3, 0, faults.clone());
-        for index in 0..200 {
-            let mut spec = World::plain_spec();
-            spec.team = if index % 2 == 0 { "red" } else { "blue" }.into();
-            spec.cpus = 0.5;
-            world.submit(15_000 + index * 300, spec);
+        for copies in copies_to_add(seed) {
+            let faults = [faults.clone(), copies].concat();
+            let mut world = World::new(seed, 3, 0, faults.clone());
+            for index in 0..200 {
+                let mut spec = World::plain_spec();
+                spec.team = if index % 2 == 0 { "red" } else { "blue" }.into();
+                spec.cpus = 0.5;
+                world.submit(15_000 + index * 300, spec);
+            }
+            run_to_completion(world, seed, &faults);
         }
-        run_to_completion(world, seed, &faults);
     }
 }
 
@@ -154,24 +156,30 @@
             })
             .collect();
         faults.push((rng.random_range(30_000..80_000), Fault::Crash { node: LEADER }));
-        faults.extend(draw_copies(seed, &[199]));
-        let mut world = World::new(seed, 3, 8, faults.clone());
-        world.run_time_factor = 3;
-        for index in 0..10 {
-            let mut spec = World::plain_spec();
-            spec.team = if index % 2 == 0 { "red" } else { "blue" }.into();
-            spec.tasks = 2 + index % 7;
-            spec.cpus = f64::from(1 + index % 4);
-            spec.one_zone = index % 3 != 0;
-            spec.spread = index % 3 == 0;
-            spec.zone = (index % 5 == 0).then(|| "south".into());
-            spec.spot = index % 4 != 0;
-            world.submit(5_000 + u64::from(index) * 5_000, spec);
+        for copies in copies_to_add(seed) {
+            run_jobs_with_zone_constraints(seed, [faults.clone(), copies].concat());
         }
-        run_to_completion(world, seed, &faults);
     }
 }
 
+/// Runs eight random jobs and ten array jobs that are limited to a zone or spread over zones.
+fn run_jobs_with_zone_constraints(seed: u64, faults: Faults) {
+    let mut world = World::new(seed, 3, 8, faults.clone());
+    world.run_time_factor = 3;
+    for index in 0..10 {
+        let mut spec = World::plain_spec();
+        spec.team = if index % 2 == 0 { "red" } else { "blue" }.into();
+        spec.tasks = 2 + index % 7;
+        spec.cpus = f64::from(1 + index % 4);
+        spec.one_zone = index % 3 != 0;
+        spec.spread = index % 3 == 0;
+        spec.zone = (index % 5 == 0).then(|| "south".into());
+        spec.spot = index % 4 != 0;
+        world.submit(5_000 + u64::from(index) * 5_000, spec);
+    }
+    run_to_completion(world, seed, &faults);
+}
+
 /// All machines fail every task for a while and then recover. Jobs that failed on every machine
 /// that fits them must not avoid these machines forever.
 #[test]
